Count requests, answers and attempts in the log every five seconds

One bounded line each five seconds now tells what was asked, how it was answered, how attempts ended, how many load reports the module got, and how many endpoints it holds for clear, gapping and discarding.

--- a/src/bin/rowanway/descriptors.rs
+++ b/src/bin/rowanway/descriptors.rs
@@ -39,6 +39,11 @@
         Permit(held.clone())
     }
 
+    /// How many callers and endpoints hold.
+    pub fn held(&self) -> (usize, usize) {
+        (self.callers.get(), self.endpoints.get())
+    }
+
     /// All are in use.
     pub fn are_spent(&self) -> bool {
         self.callers.get() + self.endpoints.get() >= self.budget
--- a/src/bin/rowanway/endpoints.rs
+++ b/src/bin/rowanway/endpoints.rs
@@ -150,6 +150,7 @@
         if node.pool.descriptors.are_spent() && !node.pool.close_oldest() && !node.callers.make_room() {
             return Err(io::Error::other("no descriptors left"));
         }
+        node.counters.connects += 1;
         node.pool.descriptors.permit(Side::Endpoints)
     };
     let stream = TcpStream::connect(address).await?;
--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -4,12 +4,13 @@
 //! borrow it, pass an event on, carry out the actions and let go: never across an await.
 
 use crate::config::{Config, Fixed};
+use crate::counters::{self, Counters};
 use crate::descriptors::{Bodies, Descriptors};
 use crate::discovery::{self, EndpointList, Source};
 use crate::endpoints::{self, Answered, Ending, Forward, Link, Order, Pool};
 use crate::server::Callers;
 use passproxy::api::*;
-use passproxy::choice::Balancer;
+use passproxy::choice::{Balancer, Census};
 use std::cell::{RefCell, RefMut};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -113,6 +114,7 @@
     pub callers: Callers,
     pub pool: Pool,
     pub bodies: Bodies,
+    pub counters: Counters,
     balancer: Balancer,
     members: HashMap<EndpointId, Member>,
     /// The version of the list that the present discovery gave; none of another's counts there.
@@ -124,6 +126,7 @@
     /// The watch on the discovery before, which is followed until the present one has spoken.
     watch_before: Option<Task>,
     fixed: Fixed,
+    telling: Option<Task>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
 }
@@ -143,6 +146,7 @@
             clock: Clock::start(),
             balancer: Balancer::new(config.settings.clone(), config.seed)?,
             callers: Callers::default(),
+            counters: Counters::default(),
             bodies: Bodies::new(config.memory_mb),
             pool: Pool::new(descriptors, &config.settings.limits),
             settings: Rc::new(config.settings),
@@ -154,6 +158,7 @@
             watch: None,
             watch_before: None,
             fixed: config.fixed,
+            telling: None,
             events: VecDeque::new(),
             actions: Vec::new(),
         })));
@@ -164,6 +169,8 @@
         if node.borrow().settings.discovery == Discovery::Pushed {
             node.borrow().watch(&node);
         }
+        let telling = Task::spawn(counters::tell(node.clone()));
+        node.borrow().telling = Some(telling);
         Ok(node)
     }
 
@@ -223,6 +230,7 @@
             return Err(NotTaken::Repeated);
         }
         node.unanswered += 1;
+        node.counters.taken += 1;
         let open = Open {
             forward: Rc::new(forward),
             deadline: request.deadline,
@@ -239,6 +247,7 @@
     /// The client has closed its connection: nothing is owed any more.
     pub fn client_gone(&self, request: &RequestId) {
         if self.borrow().close(request).is_some() {
+            self.borrow().counters.gone += 1;
             self.tell(Event::ClientGone { request: request.clone() });
             self.borrow().forget_if_over(request);
         }
@@ -390,6 +399,11 @@
 }
 
 impl Node {
+    /// How the module stands.
+    pub fn census(&self) -> Census {
+        self.balancer.census(self.clock.now())
+    }
+
     /// Whether an endpoint is known that takes work.
     pub fn is_ready(&self) -> bool {
         self.members.values().any(|m| m.ready)
@@ -469,13 +483,15 @@
     }
 
     fn outcome(
-        &self,
+        &mut self,
         request: &RequestId,
         attempt: AttemptNo,
         sent: Moment,
         outcome: Outcome,
         report: Option<Report>,
     ) -> Event {
+        self.counters.ended(outcome);
+        self.counters.reports += u64::from(report.is_some());
         Event::Outcome(Ended {
             request: request.clone(),
             attempt,
@@ -488,6 +504,7 @@
 
     fn answer(&mut self, request: &RequestId, answer: Answer) {
         if let Some(reply) = self.close(request) {
+            self.counters.answered(&answer);
             // A client that has just left is no concern of the module's: the request is over either way.
             let _ = reply.send(answer);
             self.forget_if_over(request);
--- a/src/bin/rowanway/server.rs
+++ b/src/bin/rowanway/server.rs
@@ -218,7 +218,7 @@
                 plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
             }
             ("/ready", _) => Wrong::method("GET").reply(),
-            ("/api", &Method::GET | &Method::POST) if self.turned_away => refused(None),
+            ("/api", &Method::GET | &Method::POST) if self.turned_away => self.turn_away(),
             ("/api", &Method::GET | &Method::POST) => {
                 self.call(request, begun).await.unwrap_or_else(|wrong| {
                     // With a body that was not read to its end the next request's start is not known.
@@ -231,6 +231,11 @@
         }
     }
 
+    fn turn_away(&self) -> Reply {
+        self.node.borrow().counters.turned_away += 1;
+        refused(None)
+    }
+
     /// A request for an endpoint.
     async fn call(&self, request: Request<Incoming>, begun: Instant) -> Result<Reply, Wrong> {
         let (clock, settings, rooms) = {
@@ -250,7 +255,7 @@
         let most = body.size_hint().exact().map_or(LARGEST_BODY, |n| n as usize);
         let Some(room) = rooms.take(most) else {
             self.traffic.last.set(true);
-            return Ok(refused(None));
+            return Ok(self.turn_away());
         };
         let body_until = deadline.min(begun + REQUEST_TIME);
         let body = match timeout_at(body_until, Limited::new(body, LARGEST_BODY).collect()).await {
@@ -274,7 +279,7 @@
         let id = request.id.clone();
         let answer = match self.node.take(request, forward) {
             Ok(answer) => answer,
-            Err(NotTaken::TooMany) => return Ok(refused(None)),
+            Err(NotTaken::TooMany) => return Ok(self.turn_away()),
             Err(NotTaken::Repeated) => {
                 let text = "a request with this id is open";
                 return Err(Wrong { early: false, ..Wrong::new(StatusCode::CONFLICT, text) });
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,8 +5,8 @@
 //! are throttled a call waits for the earliest gap, and past the queue limit the least worthy is refused.
 
 use crate::api::*;
-pub use crate::state::Balancer;
 use crate::state::{Attempt, Endpoint, Fate, Pending, Scope, Thresholds, seconds, shuffled};
+pub use crate::state::{Balancer, Census};
 use std::collections::{HashSet, VecDeque};
 use std::time::Duration;
 
@@ -339,6 +339,24 @@
         judged + f64::from(known.in_flight)
     }
 
+    /// How the instance stands, for the operators.
+    pub fn census(&self, now: Moment) -> Census {
+        let mut census = Census {
+            open: self.requests.len(),
+            held: self.held.iter().map(VecDeque::len).sum(),
+            out: self.out as usize,
+            ..Census::default()
+        };
+        for e in (0..self.endpoints.len()).filter(|e| self.endpoints[*e].ready) {
+            let (gapping, discarding) = self.standing(now, e);
+            census.clear += usize::from(gapping == 0);
+            census.gapping += usize::from(gapping > 0);
+            census.discarding += usize::from(discarding > 0);
+            census.informed += usize::from(now < self.endpoints[e].lapses);
+        }
+        census
+    }
+
     /// How many levels' abatement, onset and discard thresholds a queue length has reached.
     fn levels_over(&self, depth: f64) -> [usize; 3] {
         let over = |of: fn(&Thresholds) -> f64| self.thresholds.iter().filter(|t| depth >= of(t)).count();
--- a/src/state.rs
+++ b/src/state.rs
@@ -85,6 +85,25 @@
     pub answers: u32,
 }
 
+/// How an instance stands, for the operators: counts of requests and of ready endpoints.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Census {
+    /// Requests kept, answered or not.
+    pub open: usize,
+    /// Requests that wait to be sent.
+    pub held: usize,
+    /// Attempts out, and those timed out that may run on.
+    pub out: usize,
+    /// Endpoints at which no worth level is throttled.
+    pub clear: usize,
+    /// Endpoints at which some level is held to the gap, or worse.
+    pub gapping: usize,
+    /// Endpoints at which some level is discarded.
+    pub discarding: usize,
+    /// Endpoints whose state was told and has not lapsed.
+    pub informed: usize,
+}
+
 /// One instance of the balancer.
 pub struct Balancer {
     pub(crate) set: Settings,
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -396,6 +396,25 @@
     assert!(sidecar.wait().success());
 }
 
+/// Guards the operators' eyes: what was asked, how it ended and what is held stand in the log, and not the silence after.
+#[test]
+fn the_log_counts_what_was_asked_and_how_it_ended() {
+    let endpoint = Endpoint::start(|_| Does::Answers("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n".into()));
+    let (sidecar, _discovery) = Sidecar::over(&[&endpoint]);
+    let mut client = sidecar.client();
+    assert_eq!(client.ask(&post("unsafe", "2", "x")).status(), 502);
+    assert_eq!(client.ask(&post("unsafe", "0.001", "x")).status(), 503);
+    // The requests may fall into different periods.
+    let count = |name: &str| -> u64 {
+        let fields = |line: &String| {
+            line.split(' ').find_map(|f| f.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+        };
+        sidecar.log().iter().filter(|l| l.contains("counts ")).filter_map(fields).sum::<u64>()
+    };
+    awaits("both are told", || count("requests") == 2 && count("error") == 1 && count("refused") == 1);
+    assert_eq!((count("failed"), count("served"), count("connects")), (1, 0, 1), "{:?}", sidecar.log());
+}
+
 /// Guards the start: what is wrong with the configuration is one plain line and a failure.
 #[test]
 fn a_bad_configuration_is_one_plain_line() {
--- a/tests/sidecar/stubs.rs
+++ b/tests/sidecar/stubs.rs
@@ -13,6 +13,15 @@
 /// Far longer than anything here takes: where it runs out, what was awaited does not come.
 pub const LONG: Duration = Duration::from_secs(20);
 
+/// Waits until something is so.
+pub fn awaits(what: &str, mut is_so: impl FnMut() -> bool) {
+    let until = Instant::now() + LONG;
+    while !is_so() {
+        assert!(Instant::now() < until, "not in time: {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
 /// A request or an answer as it was read.
 #[derive(Clone, Debug)]
 pub struct Message {
@@ -383,11 +392,7 @@
 
     /// Waits for a line of the log.
     pub fn awaits_log(&self, part: &str) {
-        let until = Instant::now() + LONG;
-        while !self.log().iter().any(|line| line.contains(part)) {
-            assert!(Instant::now() < until, "no line says {part:?}: {:?}", self.log());
-            thread::yield_now();
-        }
+        awaits(&format!("a line says {part:?}"), || self.log().iter().any(|line| line.contains(part)));
     }
 
     pub fn wait(&mut self) -> ExitStatus {
