--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -406,10 +406,11 @@
     assert_eq!(client.ask(&post("unsafe", "0.001", "x")).status(), 503);
     // The requests may fall into different periods.
     let count = |name: &str| -> u64 {
-        let fields = |line: &String| {
-            line.split(' ').find_map(|f| f.strip_prefix(name)?.strip_prefix('=')?.parse().ok())
+        let value = |field: &str| {
+            field.strip_prefix(name)?.strip_prefix('=')?.trim_end_matches(';').parse::<u64>().ok()
         };
-        sidecar.log().iter().filter(|l| l.contains("counts ")).filter_map(fields).sum::<u64>()
+        let log = sidecar.log();
+        log.iter().filter(|l| l.contains("counts ")).filter_map(|l| l.split(' ').find_map(value)).sum()
     };
     awaits("both are told", || count("requests") == 2 && count("error") == 1 && count("refused") == 1);
     assert_eq!((count("failed"), count("served"), count("connects")), (1, 0, 1), "{:?}", sidecar.log());
