Count calls that wait one tier down as a part of the queue, not all of it

The new counts showed both front sidecars with all 4 endpoints discarding at 5 to 7 calls out, one or two to a two-core server, and not one load report. So no reported queue had set those states. The fault lies with the first tier.

Cause. src/choice.rs, depth_now: every own call in flight was added to the queue as if it waited at its endpoint. An endpoint that calls further tiers holds a call while that waits down there. One such call put the endpoint past the lowest discard threshold, two past the middle one.

The test fails without the change: 4 calls out at 4 endpoints in either tier.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -18,6 +18,9 @@
 const HIGHEST_DISCARD: f64 = 2.6;
 /// Busy part of an endpoint from which on it counts as queueing, up to the highest discard when fully busy.
 const BUSY: f64 = 0.9;
+/// Part of an own call that counts as queue at an endpoint which calls further tiers: for most of the answer
+/// time the call waits down there, and queues nowhere here.
+const PART_HERE: f64 = 0.3;
 /// Answer time over the least usual one that is ordinary load.
 const FREE_STRETCH: f64 = 1.3;
 /// A state lapses after this many usual answer times: older news says little of the queue now.
@@ -336,7 +339,8 @@
     fn depth_now(&self, now: Moment, e: usize) -> f64 {
         let known = &self.endpoints[e];
         let judged = if now < known.lapses { known.depth } else { self.tier_depth[known.far] };
-        judged + f64::from(known.in_flight)
+        let here = if self.set.tier + 1 < self.set.tiers { PART_HERE } else { 1.0 };
+        judged + here * f64::from(known.in_flight)
     }
 
     /// How the instance stands, for the operators.
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -478,6 +478,25 @@
     assert!(long * 4 <= short * 3, "{long} out after long answers, {short} after short ones");
 }
 
+/// How many of the least worthy calls a copy that sends to this tier of two has out before one is held.
+fn least_worthy_out(tier: usize) -> usize {
+    let mut host = Host::new(Settings { balancers: 1, tier, tiers: 2, ..settings() }, listings(4));
+    host.soak(40, 0.0);
+    let sent = |host: &mut Host| {
+        host.now = host.now + ms(1);
+        sends(&host.request(0).1).len()
+    };
+    (0..300).take_while(|_| sent(&mut host) == 1).count()
+}
+
+#[test]
+fn calls_that_wait_one_tier_down_are_no_queue_of_the_tier_above() {
+    let (above, last) = (least_worthy_out(0), least_worthy_out(1));
+    assert!(above >= 2 * last, "{above} out above the last tier, {last} in it");
+    assert!(above >= 2 * 4, "two calls out at each server are no overload, but only {above} were let out");
+    assert!(above <= 4 * 10, "{above} unanswered calls at four servers throttle nothing");
+}
+
 #[test]
 fn a_copy_that_turns_out_busy_uses_more_of_the_tier() {
     let set = Settings { balancers: 4, ..settings() };
