Take a broken answer or connection for a fault, not for a queue above onset

The log counted a few attempts "reset" at every sidecar of both tiers (2 to 6 in 5 s of 60 to 100 attempts), and with them clear=0 gapping=13 discarding=13 at a sidecar of the second tier that had 2 calls out and no server informed. strace of one such sidecar showed what the resets are: now and then a server answers 200 and then something that cannot be read (a head of hundreds of headers, lengths that are not true), so the attempt ends as Reset.

Cause. src/choice.rs, observe: each failure but an error was judged as a queue above the highest onset. DESIGN grants that to a refusal as full and to a time-out alone. Each such judgement also went into the mean of the tier, which stands in for all states that have lapsed: a few broken answers throttled the whole tier. The share of faults, which the pick weighs, still counts them.

The test fails without the change: 0 of 10 calls are sent after four resets.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -704,7 +704,9 @@
             }
         }
         let told = ended.report.as_ref().map(Self::depth_of);
-        if let Some(depth) = told.into_iter().chain(failed.then_some(self.top_onset)).reduce(f64::max) {
+        // A broken connection or answer is a fault, and says nothing of the queue either.
+        let is_queued = matches!(ended.outcome, Outcome::Full | Outcome::TimedOut);
+        if let Some(depth) = told.into_iter().chain(is_queued.then_some(self.top_onset)).reduce(f64::max) {
             self.judge(now, e, depth);
         }
     }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -478,6 +478,30 @@
     assert!(long * 4 <= short * 3, "{long} out after long answers, {short} after short ones");
 }
 
+/// Of ten of the least worthy calls, how many are sent at once after one attempt at each of four idle endpoints
+/// ended so.
+fn least_worthy_sent_after(outcome: Outcome) -> usize {
+    let mut host = Host::new(two_levels(), listings(4));
+    host.soak(40, 0.0);
+    let out: Vec<RequestId> = (0..4).map(|_| host.request(1).0).collect();
+    host.now = host.now + ms(900);
+    for id in out {
+        host.end(&id, 0, outcome, 900, 0.0);
+        host.tell(Event::ClientGone { request: id });
+    }
+    (0..10).filter(|_| is_sent(&mut host, 0)).count()
+}
+
+#[test]
+fn a_broken_answer_or_connection_says_nothing_of_the_queue() {
+    for broken in [Outcome::Reset, Outcome::ConnectFailed] {
+        assert_eq!(least_worthy_sent_after(broken), 10, "{broken:?}");
+    }
+    for overloaded in [Outcome::Full, Outcome::TimedOut] {
+        assert_eq!(least_worthy_sent_after(overloaded), 0, "{overloaded:?}");
+    }
+}
+
 /// How many of the least worthy calls a copy that sends to this tier of two has out before one is held.
 fn least_worthy_out(tier: usize) -> usize {
     let mut host = Host::new(Settings { balancers: 1, tier, tiers: 2, ..settings() }, listings(4));
