Ask for load reports where they come with probes alone

The settings say why: report.how is "on_probe". The program had been written for a site whose answers bring reports.

Cause. src/choice.rs sent no probe and dropped Event::Probed; in src/bin/rowanway/node.rs, carry_out met a probe with a line of the log. So states came from refusals and time-outs alone, and the mean that stands in for lapsed states could only rise. Now each request pays for a part of a probe of the subset member that was heard of longest ago, fewer where probes are dear, and the sidecar asks GET /status/load over its pooled connections.

Probes wait in the same short queues as calls, and those that were answered told of servers with room, so the busy ones looked idle. So a probe that is turned away or times out now counts as above onset, and they are few.

The tests fail without the change: with no probe sent the two in tests/choice.rs and the one in tests/sidecar, and the first of them also where a full probe counts for nothing.

--- a/src/bin/rowanway/counters.rs
+++ b/src/bin/rowanway/counters.rs
@@ -24,6 +24,8 @@
     pub gone: u64,
     /// Connections opened to endpoints for attempts.
     pub connects: u64,
+    /// Probes that ended.
+    pub probes: u64,
     /// Load reports that the module was given.
     pub reports: u64,
     outcomes: [u64; 8],
@@ -58,10 +60,23 @@
 /// The fields stand in README.md.
 impl fmt::Display for Counters {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Counters { taken, turned_away, served, refused, failed, gone, connects, reports, outcomes } =
-            self;
+        let Counters {
+            taken,
+            turned_away,
+            served,
+            refused,
+            failed,
+            gone,
+            connects,
+            probes,
+            reports,
+            outcomes,
+        } = self;
         write!(f, "requests={taken} turned_away={turned_away} served={served} refused={refused}")?;
-        write!(f, " failed={failed} gone={gone} connects={connects} reports={reports} attempts")?;
+        write!(
+            f,
+            " failed={failed} gone={gone} connects={connects} probes={probes} reports={reports} attempts"
+        )?;
         let seen = NAMES.iter().zip(outcomes).filter(|(_, n)| **n > 0);
         seen.map(|((_, name), n)| (name, n)).try_for_each(|(name, n)| write!(f, " {name}={n}"))
     }
--- a/src/bin/rowanway/endpoints.rs
+++ b/src/bin/rowanway/endpoints.rs
@@ -46,6 +46,9 @@
 const MOST_REQUESTS: f64 = 1e5;
 const MOST_UTILISATION: f64 = 2.0;
 
+/// A probe that is not answered by then is given up.
+const PROBE_TIME: Duration = Duration::from_millis(250);
+
 /// Idle connections kept to an endpoint. Each takes room there; a burst's are not needed again soon.
 const MOST_KEPT: usize = 4;
 
@@ -65,14 +68,20 @@
     pub _room: Room,
 }
 
-/// An attempt to be made.
-pub struct Order {
-    pub request: RequestId,
-    pub attempt: AttemptNo,
+/// Where an attempt or a probe goes.
+#[derive(Clone)]
+pub struct Place {
     pub endpoint: EndpointId,
     pub address: SocketAddr,
     /// Which of the endpoint's processes it is meant for.
     pub up_since: Option<Moment>,
+}
+
+/// An attempt to be made.
+pub struct Order {
+    pub request: RequestId,
+    pub attempt: AttemptNo,
+    pub place: Place,
     pub until: Moment,
     pub forward: Rc<Forward>,
 }
@@ -112,16 +121,17 @@
     loop {
         // An endpoint may close a kept connection whenever it likes, or reset it at the next request; that request may
         // have run for all one knows. One that must not run twice is lost with it, so it gets a new connection.
-        let idle = if order.forward.repeatable { node.borrow().pool.take(&order.endpoint) } else { None };
+        let idle =
+            if order.forward.repeatable { node.borrow().pool.take(&order.place.endpoint) } else { None };
         let (mut link, reused) = match idle {
             Some(link) => (link, true),
-            None => match timeout_at(connect_until, connect(node, order.address)).await {
+            None => match timeout_at(connect_until, connect(node, order.place.address)).await {
                 Ok(Ok(link)) => (link, false),
                 Ok(Err(_)) | Err(_) => return Ending::without_answer(Outcome::ConnectFailed),
             },
         };
         if !node.may_write(order) {
-            node.put_back(link, order);
+            node.put_back(link, &order.place);
             return Ending::without_answer(Outcome::Moot);
         }
         let request = order.forward.request(order.until.since(node.borrow().clock.now()));
@@ -131,7 +141,7 @@
         match answer {
             Ok(Ok(answer)) => {
                 if answer.body.is_ok() {
-                    node.put_back(link, order);
+                    node.put_back(link, &order.place);
                 }
                 return answer.ending();
             }
@@ -144,6 +154,39 @@
     }
 }
 
+/// Asks an endpoint for its load report and tells the node what came of it.
+pub async fn probe(node: Handle, place: Place) {
+    let sent = Instant::now();
+    let ending = timeout_at(sent + PROBE_TIME, ask_load(&node, &place)).await;
+    node.probed(&place, sent.elapsed(), ending.unwrap_or(Ending::without_answer(Outcome::TimedOut)));
+}
+
+async fn ask_load(node: &Handle, place: &Place) -> Ending {
+    let idle = node.borrow().pool.take(&place.endpoint);
+    let mut link = match idle {
+        Some(link) => link,
+        // It is not worth another's connection.
+        None if node.borrow().pool.descriptors.are_spent() => {
+            return Ending::without_answer(Outcome::ConnectFailed);
+        }
+        None => match connect(node, place.address).await {
+            Ok(link) => link,
+            Err(_) => return Ending::without_answer(Outcome::ConnectFailed),
+        },
+    };
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = Uri::from_static("/status/load");
+    match link.carry(request).await {
+        Ok(answer) => {
+            if answer.body.is_ok() {
+                node.put_back(link, place);
+            }
+            answer.probed()
+        }
+        Err(_) => Ending::without_answer(Outcome::Reset),
+    }
+}
+
 async fn connect(node: &Handle, address: SocketAddr) -> io::Result<Link> {
     let permit = {
         let mut node = node.borrow();
@@ -248,6 +291,13 @@
         };
         Ending { outcome, report, answered }
     }
+
+    /// The same for a probe, whose answer is the report.
+    fn probed(self) -> Ending {
+        let told = self.body.as_ref().ok().and_then(|b| std::str::from_utf8(b).ok()).and_then(load_report);
+        let Ending { outcome, report, .. } = self.ending();
+        Ending { outcome, report: report.or(told.filter(|_| outcome == Outcome::Served)), answered: None }
+    }
 }
 
 /// Reads `TEXT inflight=7, queue=2, util=0.61`, with the names that the settings give the fields or those of the
--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -7,7 +7,7 @@
 use crate::counters::{self, Counters};
 use crate::descriptors::{Bodies, Descriptors};
 use crate::discovery::{self, EndpointList, Source};
-use crate::endpoints::{self, Answered, Ending, Forward, Link, Order, Pool};
+use crate::endpoints::{self, Answered, Ending, Forward, Link, Order, Place, Pool};
 use crate::server::Callers;
 use passproxy::api::*;
 use passproxy::choice::{Balancer, Census};
@@ -267,18 +267,19 @@
         let node = self.borrow();
         let Some(open) = node.open.get(&order.request) else { return false };
         let out = open.attempts.get(order.attempt).is_some_and(|a| a.task.is_some());
+        let place = &order.place;
         let takes =
-            node.members.get(&order.endpoint).is_some_and(|m| m.ready && m.up_since == order.up_since);
+            node.members.get(&place.endpoint).is_some_and(|m| m.ready && m.up_since == place.up_since);
         open.reply.is_some() && out && takes && node.clock.now() < order.until
     }
 
-    /// Returns a connection that carried an attempt to its end, if its endpoint still takes work.
-    pub fn put_back(&self, link: Link, order: &Order) {
+    /// Returns a connection that carried an attempt or a probe to its end, if its endpoint still takes work.
+    pub fn put_back(&self, link: Link, place: &Place) {
         let mut node = self.borrow();
-        let member = node.members.get(&order.endpoint);
+        let member = node.members.get(&place.endpoint);
         let same =
-            member.is_some_and(|m| m.ready && m.up_since == order.up_since && m.address == order.address);
-        if same && node.pool.put_back(&order.endpoint, link) {
+            member.is_some_and(|m| m.ready && m.up_since == place.up_since && m.address == place.address);
+        if same && node.pool.put_back(&place.endpoint, link) {
             spawn_local(endpoints::sweep(self.clone()));
         }
     }
@@ -302,6 +303,19 @@
         self.borrow().forget_if_over(&order.request);
     }
 
+    /// A probe has ended.
+    pub fn probed(&self, place: &Place, took: Duration, ending: Ending) {
+        let mut node = self.borrow();
+        node.counters.probes += 1;
+        node.counters.reports += u64::from(ending.report.is_some());
+        if node.members.get(&place.endpoint).is_none_or(|m| m.up_since != place.up_since) {
+            return; // it speaks of a process that is no more
+        }
+        drop(node);
+        let Ending { outcome, report, .. } = ending;
+        self.tell(Event::Probed { endpoint: place.endpoint.clone(), outcome, took, report });
+    }
+
     // ---- Endpoints ---------------------------------------------------------------------------------------
 
     /// The version that a source's changes may follow on.
@@ -436,8 +450,13 @@
             }
             Action::FetchList => drop(spawn_local(discovery::fetch(handle.clone(), self.discovery))),
             Action::CloseIdle { endpoint } => self.pool.close_idle(&endpoint),
-            // The module sends neither where the settings permit neither.
-            Action::Probe { .. } | Action::Tell { .. } => eprintln!("rowanway: no probes or peers here"),
+            Action::Probe { endpoint } => {
+                if let Some(place) = self.place(&endpoint) {
+                    spawn_local(endpoints::probe(handle.clone(), place));
+                }
+            }
+            // The module sends none.
+            Action::Tell { .. } => eprintln!("rowanway: no peers here"),
             Action::Log(text) => eprintln!("rowanway: {text}"),
         }
     }
@@ -450,16 +469,20 @@
         });
     }
 
+    fn place(&self, endpoint: &EndpointId) -> Option<Place> {
+        let Member { address, up_since, .. } = *self.members.get(endpoint)?;
+        Some(Place { endpoint: endpoint.clone(), address, up_since })
+    }
+
     fn send(&mut self, handle: &Handle, request: RequestId, endpoint: EndpointId, timeout: Option<Duration>) {
-        let now = self.clock.now();
+        let (now, place) = (self.clock.now(), self.place(&endpoint));
         let Some(open) = self.open.get_mut(&request) else { return };
         let attempt = open.attempts.len();
-        let member = self.members.get(&endpoint).filter(|_| open.reply.is_some());
-        let task = member.map(|member| {
+        let place = place.filter(|_| open.reply.is_some());
+        let task = place.map(|place| {
             let until = timeout.map_or(open.deadline, |t| open.deadline.min(now + t));
             let forward = open.forward.clone();
-            let (address, up_since, request) = (member.address, member.up_since, request.clone());
-            let order = Order { request, attempt, endpoint, address, up_since, until, forward };
+            let order = Order { request: request.clone(), attempt, place, until, forward };
             Task::spawn(endpoints::attempt(handle.clone(), order))
         });
         let started = task.is_some();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -53,6 +53,13 @@
 const FAULT_FADE: Duration = Duration::from_secs(20);
 /// Further attempts for each request, and how many may be saved up.
 const RETRIES: (f64, f64) = (0.2, 10.0);
+/// Probes that a request pays for where reports come with probes alone, how many may be saved up, and the
+/// part of the result that they may cost. With one for each call they took the calls' places in short queues.
+const PROBES: f64 = 0.15;
+const PROBES_SAVED: f64 = 4.0;
+const PROBE_SPEND: f64 = 0.03;
+/// Least time between two probes of an endpoint: its report is refreshed about as often.
+const PROBE_GAP: Duration = Duration::from_millis(100);
 /// Less time left than this part of the usual answer time is nearly out of time.
 const NEARLY_OUT: f64 = 0.5;
 
@@ -103,8 +110,10 @@
             Event::Outcome(ended) => self.conclude(now, &ended, out),
             // By its name, not by the time: a host's timer that came a hair early left all later ones unset.
             Event::Timer { token } => self.armed = self.armed.filter(|at| at.as_nanos() != token),
-            Event::Request(_) | Event::Probed { .. } | Event::PeerMessage { .. } => {}
+            Event::Probed { endpoint, outcome, report, .. } => self.heard(now, &endpoint, outcome, report),
+            Event::Request(_) | Event::PeerMessage { .. } => {}
         }
+        self.probe(now, out);
         self.release(now, out);
         self.ask_and_arm(now, out);
     }
@@ -271,6 +280,37 @@
         }
     }
 
+    // ---- Probes ------------------------------------------------------------------------------------------
+
+    /// Asks after the queues of subset members, the longest unheard of first, where no answer tells of them.
+    fn probe(&mut self, now: Moment, out: &mut Vec<Action>) {
+        while self.probe_tokens >= 1.0 {
+            let due = |e: &&usize| now >= self.endpoints[**e].probe_at;
+            let next = self.subset.iter().filter(due).min_by_key(|e| self.endpoints[**e].probe_at).copied();
+            let Some(e) = next else { return };
+            self.probe_tokens -= 1.0;
+            let known = &mut self.endpoints[e];
+            known.probe_at = now + PROBE_GAP;
+            out.push(Action::Probe { endpoint: known.id.clone() });
+        }
+    }
+
+    /// Probes that a request pays for: none where answers bring reports, and few where they are dear.
+    fn probes_paid(&self) -> f64 {
+        let asked = self.set.limits.probes && self.set.reporting == Reporting::WithProbes;
+        if asked { PROBES.min(PROBE_SPEND / self.set.prices.probe.max(1e-6)) } else { 0.0 }
+    }
+
+    /// What a probe says of its endpoint: one turned away or not answered in time met a queue. Guards against
+    /// hearing none but those that have room.
+    fn heard(&mut self, now: Moment, endpoint: &EndpointId, outcome: Outcome, report: Option<Report>) {
+        let Some(e) = self.index.get(endpoint).copied() else { return };
+        let queued = matches!(outcome, Outcome::TimedOut | Outcome::Full).then_some(self.top_onset);
+        if let Some(depth) = report.as_ref().map(Self::depth_of).or(queued) {
+            self.judge(now, e, depth);
+        }
+    }
+
     // ---- Overload state ----------------------------------------------------------------------------------
 
     /// The queue length that a report speaks of, or the nearest stand-in. Guards against servers that work on
@@ -424,6 +464,7 @@
         request.key.take_if(|_| !self.set.classes[request.class.0].by_arrival); // kept only to take turns by
         let fade = self.rate.note(now);
         self.retry_tokens = (self.retry_tokens + RETRIES.0).min(RETRIES.1);
+        self.probe_tokens = (self.probe_tokens + self.probes_paid()).min(PROBES_SAVED);
         let level = self.level(&request, fade);
         if self.subset.len() < self.near.len() && self.subset_size(now) >= 2 * self.subset.len() {
             self.draw_subset(now);
--- a/src/state.rs
+++ b/src/state.rs
@@ -34,6 +34,8 @@
     pub last_send: Moment,
     pub next_send: Moment,
     pub cold_at: f64,
+    /// Not to be probed before.
+    pub probe_at: Moment,
     /// For each class.
     pub faults: Vec<Fault>,
 }
@@ -132,6 +134,7 @@
     pub(crate) out: u32,
     pub(crate) overdue: VecDeque<(Moment, usize)>,
     pub(crate) retry_tokens: f64,
+    pub(crate) probe_tokens: f64,
     pub(crate) ask_at: Option<Moment>,
     pub(crate) failed_asks: u32,
     pub(crate) armed: Option<Moment>,
@@ -165,6 +168,7 @@
             out: 0,
             overdue: VecDeque::new(),
             retry_tokens: 0.0,
+            probe_tokens: 0.0,
             ask_at: None,
             failed_asks: 0,
             armed: None,
@@ -196,6 +200,7 @@
             last_send: Moment::default(),
             next_send: Moment::default(),
             cold_at: f64::INFINITY,
+            probe_at: Moment::default(),
             faults: vec![Fault::default(); classes],
         }
     }
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -885,3 +885,83 @@
     assert_eq!(most_out_beyond(0.08), 1);
     assert!(most_out_beyond(0.0) > 1);
 }
+
+/// A copy whose endpoints report their load in answers to probes alone, each of which has this price.
+fn probing(price: f64) -> Host {
+    let mut set = two_levels();
+    set.limits.probes = true;
+    set.reporting = Reporting::WithProbes;
+    set.prices.probe = price;
+    Host::new(set, listings(4))
+}
+
+fn probed(actions: &[Action]) -> Vec<EndpointId> {
+    let of = |a: &Action| match a {
+        Action::Probe { endpoint } => Some(endpoint.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(of).collect()
+}
+
+/// Serves so many requests without a report, and answers each probe so.
+fn serve_and_answer(
+    host: &mut Host,
+    requests: usize,
+    outcome: Outcome,
+    depth: Option<f64>,
+) -> Vec<EndpointId> {
+    let mut all = Vec::new();
+    for _ in 0..requests {
+        host.now = host.now + ms(25);
+        let (id, actions) = host.request(1);
+        if let Some(to) = sends(&actions).first() {
+            assert!(!to.0.is_empty());
+            host.tell(Event::Outcome(Ended {
+                request: id.clone(),
+                attempt: 0,
+                outcome: Outcome::Served,
+                took: ms(10),
+                terminal: true,
+                report: None,
+            }));
+        }
+        host.tell(Event::ClientGone { request: id });
+        for endpoint in probed(&actions) {
+            all.push(endpoint.clone());
+            let report = depth.map(|d| Report { depth: Some(d), ..Report::default() });
+            host.tell(Event::Probed { endpoint, outcome, took: ms(5), report });
+        }
+    }
+    all
+}
+
+#[test]
+fn queues_are_asked_for_where_answers_do_not_tell_them() {
+    let mut host = probing(0.01);
+    let asked = serve_and_answer(&mut host, 400, Outcome::Served, Some(0.0));
+    let each: std::collections::BTreeSet<_> = asked.iter().collect();
+    assert!(each.len() == 4, "all of a small tier are asked, not {each:?}");
+    assert!(asked.len() <= 400, "{} probes for 400 requests", asked.len());
+    assert!(is_sent(&mut host, 0), "all are told to be empty");
+    // A deep queue, and a probe that met one, throttle the least worthy; without a word the state lapses.
+    for (outcome, depth) in [(Outcome::Served, Some(2.0)), (Outcome::Full, None), (Outcome::TimedOut, None)] {
+        let mut host = probing(0.01);
+        serve_and_answer(&mut host, 400, outcome, depth);
+        assert!(!is_sent(&mut host, 0), "{outcome:?} {depth:?}");
+    }
+    let mut host = probing(0.01);
+    serve_and_answer(&mut host, 400, Outcome::Reset, None);
+    assert!(is_sent(&mut host, 0), "a probe that broke off tells of no queue");
+}
+
+#[test]
+fn probes_are_few_where_dear_and_none_where_answers_tell_or_they_are_forbidden() {
+    let count = |host: &mut Host| serve_and_answer(host, 400, Outcome::Served, Some(0.0)).len();
+    let (cheap, dear) = (count(&mut probing(0.001)), count(&mut probing(1.0)));
+    assert!(dear * 2 < cheap, "{dear} where dear, {cheap} where cheap");
+    let mut set = two_levels();
+    set.limits.probes = true;
+    assert_eq!(count(&mut Host::new(set.clone(), listings(4))), 0, "reports come with answers");
+    (set.limits.probes, set.reporting) = (false, Reporting::WithProbes);
+    assert_eq!(count(&mut Host::new(set, listings(4))), 0, "forbidden");
+}
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -396,6 +396,36 @@
     assert!(sidecar.wait().success());
 }
 
+/// Guards the module's eyes where reports come with probes alone: they are asked for on the endpoint's own path, with no
+/// request's id, and what its answer says reaches the module. Where probes are forbidden none is sent.
+#[test]
+fn load_reports_are_asked_for_where_only_probes_bring_them() {
+    for (allowed, report) in
+        [(true, "TEXT load_share=0.1, depth=0"), (true, "no report"), (false, "TEXT load_share=0.1, depth=0")]
+    {
+        let endpoint = Endpoint::start(move |message| {
+            ok(if message.first == "GET /status/load HTTP/1.1" { report } else { "served" })
+        });
+        let discovery = Discovery::start();
+        let mut config = config(discovery.address, &[entry("e0", endpoint.address, "SERVING")]);
+        config["settings"]["report"]["how"] = json!("on_probe");
+        config["settings"]["bounds"]["probes"] = json!(allowed);
+        let sidecar = Sidecar::start(&config);
+        let mut client = sidecar.client();
+        for _ in 0..40 {
+            let answer = client.ask(&get("2"));
+            assert_eq!((answer.status(), answer.body.as_slice()), (200, "served".as_bytes()));
+        }
+        let count = |name: &str| sidecar.counted(name);
+        awaits("the counts are told", || count("requests") == 40 && (count("probes") > 0) == allowed);
+        let probes = endpoint.messages().into_iter().filter(|m| m.header("x-request-id").is_none());
+        let probes: Vec<String> = probes.map(|m| m.first).collect();
+        assert!(probes.iter().all(|first| first == "GET /status/load HTTP/1.1"), "{probes:?}");
+        let told = if report.starts_with("TEXT") { probes.len() as u64 } else { 0 };
+        awaits("all reports are told", || count("probes") == probes.len() as u64 && count("reports") == told);
+    }
+}
+
 /// Guards the operators' eyes: what was asked, how it ended and what is held stand in the log, and not the silence after.
 #[test]
 fn the_log_counts_what_was_asked_and_how_it_ended() {
@@ -404,14 +434,7 @@
     let mut client = sidecar.client();
     assert_eq!(client.ask(&post("unsafe", "2", "x")).status(), 502);
     assert_eq!(client.ask(&post("unsafe", "0.001", "x")).status(), 503);
-    // The requests may fall into different periods.
-    let count = |name: &str| -> u64 {
-        let value = |field: &str| {
-            field.strip_prefix(name)?.strip_prefix('=')?.trim_end_matches(';').parse::<u64>().ok()
-        };
-        let log = sidecar.log();
-        log.iter().filter(|l| l.contains("counts ")).filter_map(|l| l.split(' ').find_map(value)).sum()
-    };
+    let count = |name: &str| sidecar.counted(name);
     awaits("both are told", || count("requests") == 2 && count("error") == 1 && count("refused") == 1);
     assert_eq!((count("failed"), count("served"), count("connects")), (1, 0, 1), "{:?}", sidecar.log());
 }
--- a/tests/sidecar/stubs.rs
+++ b/tests/sidecar/stubs.rs
@@ -187,7 +187,12 @@
 
     /// The requests that it has seen up to now and not told of.
     pub fn requests(&self) -> usize {
-        self.saw.try_iter().filter(|s| matches!(s, Saw::Request(..))).count()
+        self.messages().len()
+    }
+
+    pub fn messages(&self) -> Vec<Message> {
+        let requests = |saw| if let Saw::Request(_, message) = saw { Some(message) } else { None };
+        self.saw.try_iter().filter_map(requests).collect()
     }
 }
 
@@ -390,6 +395,15 @@
         self.signal("TERM");
     }
 
+    /// The sum of a count over all periods that the log has told of.
+    pub fn counted(&self, name: &str) -> u64 {
+        let value = |field: &str| {
+            field.strip_prefix(name)?.strip_prefix('=')?.trim_end_matches(';').parse::<u64>().ok()
+        };
+        let log = self.log();
+        log.iter().filter(|l| l.contains("counts ")).filter_map(|l| l.split(' ').find_map(value)).sum()
+    }
+
     /// Waits for a line of the log.
     pub fn awaits_log(&self, part: &str) {
         awaits(&format!("a line says {part:?}"), || self.log().iter().any(|line| line.contains(part)));
