Weigh cost hints by how answer times go with them, not at their word

A tap of the wire showed 17 of 21 final refusals that came 0 ms after the request, with no attempt, to requests with hints of several times the mean of their class: a hold-slot of 4356 ms with 5 s left, a confirm of 744 ms. The site file calls hints rough. Worth goes by work, so each of these was several requests' worth.

Cause. src/choice.rs, bulk: half of the usual time was held to grow in proportion to the hint over its mean, some six times as steep as it is here, and accept refuses what seems to need twice the time left. Now the slope is learned for each class from answers (how times and hints stray together); no hint is believed before a few answers. The least is half the mean, as before.

Ruled out: throttling (the calls before and after went out at once), the deadline carried (5 to 6 s were left).

The test fails without the change: a request with a heavy hint is refused though times do not go with hints.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -39,6 +39,8 @@
 /// Weight of one answer in an endpoint's stretch and faults, and of one in a class's usual time.
 const ENDPOINT_WEIGHT: f64 = 0.3;
 const USUAL_WEIGHT: f64 = 0.05;
+/// The least that a request takes beside the mean of its class, however small its hint.
+const LEAST_BULK: f64 = 0.5;
 /// Weight of one answer in the mean whose least value is the unloaded time: the least of few is too low.
 const BASE_WEIGHT: f64 = 0.02;
 /// Usual answer time before any was seen, as a part of the aim; answers before a mean is believed.
@@ -511,11 +513,16 @@
         seconds(self.classes[request.class.0].usual * self.bulk(request))
     }
 
-    /// How long a request takes beside the mean of its class, by its hint. Half of the time does not go with
-    /// the hint: taken as all of it, one tiny request made the usual time seem minutes.
+    /// How long a request takes beside the mean of its class, by its hint, as answer times went with hints so
+    /// far. Hints can be so rough that they say next to nothing: taken at their word, they had heavy requests
+    /// refused on a quiet day as if there were no time for them.
     fn bulk(&self, request: &Request) -> f64 {
-        let mean = self.classes[request.class.0].hint;
-        request.cost_hint.filter(|_| mean > 0.0).map_or(1.0, |h| 0.5 + 0.5 * h.as_secs_f64() / mean)
+        let class = &self.classes[request.class.0];
+        let Some(hint) = request.cost_hint.filter(|_| class.answers >= FEW && class.time > 0.0) else {
+            return 1.0;
+        };
+        let slope = (class.covariance / class.variance.max(f64::MIN_POSITIVE)).max(0.0);
+        (1.0 + slope * (hint.as_secs_f64() - class.hint) / class.time).max(LEAST_BULK)
     }
 
     fn hold(&mut self, pending: &Pending) {
@@ -734,7 +741,12 @@
             state.answers = state.answers.saturating_add(1);
             let weight = USUAL_WEIGHT.max(1.0 / f64::from(state.answers));
             let hint = request.cost_hint.unwrap_or_default().as_secs_f64();
-            state.hint += (hint - state.hint) * weight;
+            let (hint_off, time_off) = (hint - state.hint, ended.took.as_secs_f64() - state.time);
+            let spread = BASE_WEIGHT.max(1.0 / f64::from(state.answers));
+            state.variance += (hint_off * hint_off - state.variance) * spread;
+            state.covariance += (hint_off * time_off - state.covariance) * spread;
+            state.hint += hint_off * weight;
+            state.time += time_off * weight;
             state.usual += (time - state.usual) * weight;
             state.slow += (time - state.slow) * BASE_WEIGHT.max(1.0 / f64::from(state.answers));
             if state.answers >= FEW {
--- a/src/state.rs
+++ b/src/state.rs
@@ -81,7 +81,11 @@
 pub struct ClassState {
     pub level: usize,
     pub usual: f64,
+    /// Means of hints and answer times, and how far they stray, alone and together.
     pub hint: f64,
+    pub time: f64,
+    pub variance: f64,
+    pub covariance: f64,
     pub slow: f64,
     pub base: f64,
     pub answers: u32,
