--- a/src/choice.rs
+++ b/src/choice.rs
@@ -370,7 +370,7 @@
     /// How many levels are gapping and discarding: by the last judgement and own calls out, as reports come
     /// late and a flush of held calls would otherwise all go where the last was good. A lapsed state is the
     /// tier's mean: copies too quiet to follow one endpoint can follow all of them.
-    fn standing(&self, now: Moment, e: usize) -> (usize, usize) {
+    pub(crate) fn standing(&self, now: Moment, e: usize) -> (usize, usize) {
         let known = &self.endpoints[e];
         let [_, onset, discard] = self.levels_over(self.depth_now(now, e));
         let (gapping, discarding) =
@@ -385,24 +385,6 @@
         judged + here * f64::from(known.in_flight)
     }
 
-    /// How the instance stands, for the operators.
-    pub fn census(&self, now: Moment) -> Census {
-        let mut census = Census {
-            open: self.requests.len(),
-            held: self.held.iter().map(VecDeque::len).sum(),
-            out: self.out as usize,
-            ..Census::default()
-        };
-        for e in (0..self.endpoints.len()).filter(|e| self.endpoints[*e].ready) {
-            let (gapping, discarding) = self.standing(now, e);
-            census.clear += usize::from(gapping == 0);
-            census.gapping += usize::from(gapping > 0);
-            census.discarding += usize::from(discarding > 0);
-            census.informed += usize::from(now < self.endpoints[e].lapses);
-        }
-        census
-    }
-
     /// How many levels' abatement, onset and discard thresholds a queue length has reached.
     fn levels_over(&self, depth: f64) -> [usize; 3] {
         let over = |of: fn(&Thresholds) -> f64| self.thresholds.iter().filter(|t| depth >= of(t)).count();
@@ -521,8 +503,7 @@
         let Some(hint) = request.cost_hint.filter(|_| class.answers >= FEW && class.time > 0.0) else {
             return 1.0;
         };
-        let slope = (class.covariance / class.variance.max(f64::MIN_POSITIVE)).max(0.0);
-        (1.0 + slope * (hint.as_secs_f64() - class.hint) / class.time).max(LEAST_BULK)
+        (1.0 + class.slope() * (hint.as_secs_f64() - class.hint) / class.time).max(LEAST_BULK)
     }
 
     fn hold(&mut self, pending: &Pending) {
@@ -741,12 +722,8 @@
             state.answers = state.answers.saturating_add(1);
             let weight = USUAL_WEIGHT.max(1.0 / f64::from(state.answers));
             let hint = request.cost_hint.unwrap_or_default().as_secs_f64();
-            let (hint_off, time_off) = (hint - state.hint, ended.took.as_secs_f64() - state.time);
             let spread = BASE_WEIGHT.max(1.0 / f64::from(state.answers));
-            state.variance += (hint_off * hint_off - state.variance) * spread;
-            state.covariance += (hint_off * time_off - state.covariance) * spread;
-            state.hint += hint_off * weight;
-            state.time += time_off * weight;
+            state.note_hint(hint, ended.took.as_secs_f64(), weight, spread);
             state.usual += (time - state.usual) * weight;
             state.slow += (time - state.slow) * BASE_WEIGHT.max(1.0 / f64::from(state.answers));
             if state.answers >= FEW {
--- a/src/state.rs
+++ b/src/state.rs
@@ -181,6 +181,42 @@
     }
 }
 
+impl ClassState {
+    /// How much longer an answer takes, in seconds, for each second more in its hint.
+    pub fn slope(&self) -> f64 {
+        (self.covariance / self.variance.max(f64::MIN_POSITIVE)).max(0.0)
+    }
+
+    /// One more answer, with its weight in the means, and in what they stray.
+    pub fn note_hint(&mut self, hint: f64, time: f64, weight: f64, spread: f64) {
+        let (hint_off, time_off) = (hint - self.hint, time - self.time);
+        self.variance += (hint_off * hint_off - self.variance) * spread;
+        self.covariance += (hint_off * time_off - self.covariance) * spread;
+        self.hint += hint_off * weight;
+        self.time += time_off * weight;
+    }
+}
+
+impl Balancer {
+    /// How the instance stands, for the operators.
+    pub fn census(&self, now: Moment) -> Census {
+        let mut census = Census {
+            open: self.requests.len(),
+            held: self.held.iter().map(VecDeque::len).sum(),
+            out: self.out as usize,
+            ..Census::default()
+        };
+        for e in (0..self.endpoints.len()).filter(|e| self.endpoints[*e].ready) {
+            let (gapping, discarding) = self.standing(now, e);
+            census.clear += usize::from(gapping == 0);
+            census.gapping += usize::from(gapping > 0);
+            census.discarding += usize::from(discarding > 0);
+            census.informed += usize::from(now < self.endpoints[e].lapses);
+        }
+        census
+    }
+}
+
 impl Endpoint {
     /// An endpoint just heard of: clear, healthy, not yet usable.
     pub fn new(entry: &Listing, classes: usize) -> Self {
