Count an own call in the last tier for those of the other copies too

Cause. src/choice.rs, depth_now: every server of the tier above brings a copy of its own, so a copy's own calls are a small part of a server's, and the paper assumes a few known senders. One own call out was taken for one in all, which on an idle-looking server is often the one that finds it full. It now counts double in the last of several tiers; elsewhere nothing changes.

The test fails without the change: 12 calls out in either case.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,6 +21,9 @@
 /// Part of an own call that counts as queue at an endpoint which calls further tiers: for most of the answer
 /// time the call waits down there, and queues nowhere here.
 const PART_HERE: f64 = 0.3;
+/// What it counts for in the last of several tiers: each server of the tier above has a copy, and where one
+/// of so many has a call out, those that share the endpoint are likely to.
+const FOR_OTHERS: f64 = 2.0;
 /// Answer time over the least usual one that is ordinary load.
 const FREE_STRETCH: f64 = 1.3;
 /// A state lapses after this many usual answer times: older news says little of the queue now.
@@ -381,8 +384,16 @@
     fn depth_now(&self, now: Moment, e: usize) -> f64 {
         let known = &self.endpoints[e];
         let judged = if now < known.lapses { known.depth } else { self.tier_depth[known.far] };
-        let here = if self.set.tier + 1 < self.set.tiers { PART_HERE } else { 1.0 };
-        judged + here * f64::from(known.in_flight)
+        judged + self.call_counts() * f64::from(known.in_flight)
+    }
+
+    /// What an own call out counts for as queue at its endpoint.
+    fn call_counts(&self) -> f64 {
+        match (self.set.tier, self.set.tiers) {
+            (tier, tiers) if tier + 1 < tiers => PART_HERE,
+            (0, _) => 1.0,
+            _ => FOR_OTHERS,
+        }
     }
 
     /// How many levels' abatement, onset and discard thresholds a queue length has reached.
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -520,20 +520,27 @@
     }
 }
 
-/// How many of the least worthy calls a copy that sends to this tier of two has out before one is held.
-fn least_worthy_out(tier: usize) -> usize {
-    let mut host = Host::new(Settings { balancers: 1, tier, tiers: 2, ..settings() }, listings(4));
+/// How many calls of a class a copy that sends to this tier of so many has out before one is held.
+fn let_out(class: usize, tier: usize, tiers: usize) -> usize {
+    let mut host = Host::new(Settings { balancers: 1, tier, tiers, ..settings() }, listings(4));
     host.soak(40, 0.0);
     let sent = |host: &mut Host| {
         host.now = host.now + ms(1);
-        sends(&host.request(0).1).len()
+        sends(&host.request(class).1).len()
     };
     (0..300).take_while(|_| sent(&mut host) == 1).count()
 }
 
+#[test]
+fn copies_that_many_callers_bring_let_out_less_each() {
+    let (alone, below) = (let_out(1, 0, 1), let_out(1, 1, 2));
+    assert!(below < alone, "{below} out in the last tier of two, {alone} where there is one");
+    assert!(below >= 4, "only {below} out at four idle endpoints");
+}
+
 #[test]
 fn calls_that_wait_one_tier_down_are_no_queue_of_the_tier_above() {
-    let (above, last) = (least_worthy_out(0), least_worthy_out(1));
+    let (above, last) = (let_out(0, 0, 2), let_out(0, 1, 2));
     assert!(above >= 2 * last, "{above} out above the last tier, {last} in it");
     assert!(above >= 2 * 4, "two calls out at each server are no overload, but only {above} were let out");
     assert!(above <= 4 * 10, "{above} unanswered calls at four servers throttle nothing");
