Serve on the connections that callers have for a while after SIGTERM

New connections go elsewhere 0.4 s after SIGTERM in any case, but PROTOCOL has clients use those they have for as long as they stay open.

Cause. src/bin/rowanway/main.rs, serve: the callers' connections were closed with the signal itself. The counts are told at the signal and at the end as well; the last period was lost before.

The test fails without the change: the connection is closed.

--- a/src/bin/rowanway/counters.rs
+++ b/src/bin/rowanway/counters.rs
@@ -83,21 +83,26 @@
 }
 
 /// Tells the counts of each period in which something happened, and how the module stands at its end.
-pub async fn tell(node: Handle) {
+pub async fn tell_each_period(node: Handle) {
     loop {
         sleep(PERIOD).await;
-        let (counters, census, (callers, endpoints)) = {
-            let mut node = node.borrow();
-            let counters = std::mem::take(&mut node.counters);
-            (counters, node.census(), node.pool.descriptors.held())
-        };
-        if counters == Counters::default() {
-            continue;
-        }
-        let Census { open, held, out, clear, gapping, discarding, informed } = census;
-        eprintln!(
-            "rowanway: counts {counters}; now open={open} held={held} out={out} callers={callers} \
-             connections={endpoints} clear={clear} gapping={gapping} discarding={discarding} informed={informed}"
-        );
+        tell(&node);
     }
 }
+
+/// Tells the counts since it last did, if there are any.
+pub fn tell(node: &Handle) {
+    let (counters, census, (callers, endpoints)) = {
+        let mut node = node.borrow();
+        let counters = std::mem::take(&mut node.counters);
+        (counters, node.census(), node.pool.descriptors.held())
+    };
+    if counters == Counters::default() {
+        return;
+    }
+    let Census { open, held, out, clear, gapping, discarding, informed } = census;
+    eprintln!(
+        "rowanway: counts {counters}; now open={open} held={held} out={out} callers={callers} \
+         connections={endpoints} clear={clear} gapping={gapping} discarding={discarding} informed={informed}"
+    );
+}
--- a/src/bin/rowanway/main.rs
+++ b/src/bin/rowanway/main.rs
@@ -20,6 +20,11 @@
 
 /// New connections go on coming for up to 0.4 s after the word to stop.
 const STILL_COMING: Duration = Duration::from_millis(600);
+/// A sidecar may be killed 0.7 s after the longest deadline, of which no more than this counts.
+const COUNTED: Duration = Duration::from_secs(3);
+/// Part of that in which callers keep their connections: another sidecar may be down just then, and they have
+/// nowhere else to go.
+const KEPT_PART: f64 = 0.7;
 /// The sidecar is gone this long after the longest deadline, as it may be killed 0.7 s after it.
 const LAST_MOMENT: Duration = Duration::from_millis(400);
 
@@ -48,6 +53,7 @@
     let _reloads = Task::spawn(reload_on(node.clone(), reload));
     eprintln!("rowanway: {name} listens on {listen}");
     serve(&node, listener, &mut stop).await;
+    counters::tell(&node);
     eprintln!("rowanway: {name} has stopped");
     Ok(())
 }
@@ -63,7 +69,8 @@
     }
 }
 
-/// Serves until SIGTERM, and then until all that was taken is answered.
+/// Serves until SIGTERM, for a while longer on the connections that callers have, and then until all that was taken
+/// is answered.
 async fn serve(node: &Handle, listener: TcpListener, stop: &mut Signal) {
     tokio::select! {
         () = server::accept(node.clone(), &listener) => {}
@@ -71,6 +78,10 @@
     }
     let longest = node.borrow().settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let end = Instant::now() + longest + LAST_MOMENT;
+    let counted = longest.min(COUNTED);
+    counters::tell(node);
+    node.borrow().leave(counted);
+    let _ = timeout(counted.mul_f64(KEPT_PART), server::accept(node.clone(), &listener)).await;
     node.borrow().callers.stop();
     // It never ends by itself, so this only ever times out.
     let _ = timeout(STILL_COMING, server::accept(node.clone(), &listener)).await;
--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -125,6 +125,8 @@
     watch: Option<Task>,
     /// The watch on the discovery before, which is followed until the present one has spoken.
     watch_before: Option<Task>,
+    /// Once it has been told to stop: when nothing may be unanswered any more.
+    pub last_answer: Option<Moment>,
     fixed: Fixed,
     telling: Option<Task>,
     events: VecDeque<Event>,
@@ -157,6 +159,7 @@
             discovery: Source { address: config.discovery, turn: 0 },
             watch: None,
             watch_before: None,
+            last_answer: None,
             fixed: config.fixed,
             telling: None,
             events: VecDeque::new(),
@@ -169,7 +172,7 @@
         if node.borrow().settings.discovery == Discovery::Pushed {
             node.borrow().watch(&node);
         }
-        let telling = Task::spawn(counters::tell(node.clone()));
+        let telling = Task::spawn(counters::tell_each_period(node.clone()));
         node.borrow().telling = Some(telling);
         Ok(node)
     }
@@ -413,6 +416,11 @@
 }
 
 impl Node {
+    /// The sidecar has been told to stop: what it takes from now on is answered within this time.
+    pub fn leave(&mut self, within: Duration) {
+        self.last_answer = Some(self.clock.now() + within);
+    }
+
     /// How the module stands.
     pub fn census(&self) -> Census {
         self.balancer.census(self.clock.now())
--- a/src/bin/rowanway/server.rs
+++ b/src/bin/rowanway/server.rs
@@ -92,10 +92,6 @@
         self.connections.values().for_each(|c| c.close.notify_one());
     }
 
-    pub fn is_stopping(&self) -> bool {
-        self.stopping
-    }
-
     pub fn are_gone(&self) -> bool {
         self.connections.is_empty()
     }
@@ -214,7 +210,7 @@
         match (request.uri().path(), request.method()) {
             ("/ready", &Method::GET) => {
                 let node = self.node.borrow();
-                let ready = node.is_ready() && !node.callers.is_stopping();
+                let ready = node.is_ready() && node.last_answer.is_none();
                 plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
             }
             ("/ready", _) => Wrong::method("GET").reply(),
@@ -245,8 +241,10 @@
         let asked = clock.now();
         let (head, body) = request.into_parts();
         let early = !body.is_end_stream();
-        let request =
+        let mut request =
             asks(&head.method, &head.headers, &settings, asked).map_err(|w| Wrong { early, ..w })?;
+        let last_answer = self.node.borrow().last_answer;
+        request.deadline = last_answer.map_or(request.deadline, |last| request.deadline.min(last));
         if body.size_hint().lower() > LARGEST_BODY as u64 {
             return Err(Wrong::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
         }
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -439,6 +439,31 @@
     assert_eq!((count("failed"), count("served"), count("connects")), (1, 0, 1), "{:?}", sidecar.log());
 }
 
+/// Guards callers while another sidecar is down too: after SIGTERM none is sent here any more, but the connections that
+/// they have still serve for a while, and what comes on them is answered well before the sidecar may be killed.
+#[test]
+fn connections_serve_on_for_a_while_after_a_stop() {
+    let endpoint =
+        Endpoint::start(
+            |message| {
+                if message.header("x-class") == Some("unsafe") { Does::Hangs } else { ok("served") }
+            },
+        );
+    let (mut sidecar, _discovery) = Sidecar::over(&[&endpoint]);
+    let (mut first, mut second) = (sidecar.client(), sidecar.client());
+    assert_eq!(first.ask(&get("2")).status(), 200);
+    assert_eq!(second.ask(&get("2")).status(), 200);
+    sidecar.terminate();
+    let ready = || sidecar.client().ask("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n").status();
+    awaits("no new callers are asked for", || ready() == 503);
+    let stopped = Instant::now();
+    assert_eq!(first.ask(&get("2")).status(), 200, "its connection was kept");
+    assert_eq!(second.ask(&post("unsafe", "10", "x")).status(), 504, "an answer, before the sidecar is gone");
+    assert!(stopped.elapsed() < Duration::from_secs(9), "not just at the request's own deadline");
+    assert!(first.is_closed());
+    assert!(sidecar.wait().success());
+}
+
 /// Guards the start: what is wrong with the configuration is one plain line and a failure.
 #[test]
 fn a_bad_configuration_is_one_plain_line() {
