Lower what a call that waits one tier down counts for from 0.3 to 0.2

The test of calls that wait one tier down holds for both figures: it asserts that twice as many are let out and that they are still bounded.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,7 +20,7 @@
 const BUSY: f64 = 0.9;
 /// Part of an own call that counts as queue at an endpoint which calls further tiers: for most of the answer
 /// time the call waits down there, and queues nowhere here.
-const PART_HERE: f64 = 0.3;
+const PART_HERE: f64 = 0.2;
 /// What it counts for in the last of several tiers: each server of the tier above has a copy, and where one
 /// of so many has a call out, those that share the endpoint are likely to.
 const FOR_OTHERS: f64 = 2.0;
