Let any class's faults warn what must not run twice

Errors came in one stretch and from a few servers, as those do that fail fast. Repeatable classes got over them with a second attempt. confirm is 8% of the requests, and of 11 to 22 calls a second that a copy makes it has one or two, so that a copy learned of a bad server by losing confirms to it.

Cause. src/choice.rs, pick: a server's faults are kept for each class, and only those of the call's own class kept it away. For what must not run twice the worst of all classes now counts. The other classes are picked as before, so a server that fails one class still gets the others.

Ruled out: a second attempt is not to be had, as an error may have run.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -21,8 +21,7 @@
 /// Part of an own call that counts as queue at an endpoint which calls further tiers: for most of the answer
 /// time the call waits down there, and queues nowhere here.
 const PART_HERE: f64 = 0.2;
-/// What it counts for in the last of several tiers: each server of the tier above has a copy, and where one
-/// of so many has a call out, those that share the endpoint are likely to.
+/// And in the last of several tiers, where a copy's calls are few among those of all that share the endpoint.
 const FOR_OTHERS: f64 = 2.0;
 /// Answer time over the least usual one that is ordinary load.
 const FREE_STRETCH: f64 = 1.3;
@@ -59,7 +58,7 @@
 /// Further attempts for each request, and how many may be saved up.
 const RETRIES: (f64, f64) = (0.2, 10.0);
 /// Probes that a request pays for where reports come with probes alone, how many may be saved up, and the
-/// part of the result that they may cost. With one for each call they took the calls' places in short queues.
+/// part of the result that they may cost. With one a call they took the calls' places in short queues.
 const PROBES: f64 = 0.15;
 const PROBES_SAVED: f64 = 4.0;
 const PROBE_SPEND: f64 = 0.03;
@@ -415,7 +414,10 @@
         // Guards against servers that fail fast, refuse connections or say nothing, be it for one class only:
         // they hold few calls and no queue. Judged against the others (and two unheard of), as errors and
         // time-outs also come from the tier below.
-        let fault = |b: &Self, e: usize| b.endpoints[e].faults[class].part(now, FAULT_FADE);
+        // One that must not run twice is lost with its first failure: any class's faults warn it.
+        let unsafe_class = self.set.classes[class].effect == Effect::Unsafe;
+        let of = (!unsafe_class).then_some(class);
+        let fault = |b: &Self, e: usize| b.endpoints[e].fault(of, now, FAULT_FADE);
         let faults: f64 = self.subset.iter().map(|e| fault(self, *e)).sum();
         let bar = faults / (self.subset.len() + 2) as f64 + FAULT_MARGIN;
         let takes = |b: &Self, e: usize, level: usize| {
@@ -507,8 +509,7 @@
     }
 
     /// How long a request takes beside the mean of its class, by its hint, as answer times went with hints so
-    /// far. Hints can be so rough that they say next to nothing: taken at their word, they had heavy requests
-    /// refused on a quiet day as if there were no time for them.
+    /// far: rough hints, taken at their word, had heavy requests refused on a quiet day.
     fn bulk(&self, request: &Request) -> f64 {
         let class = &self.classes[request.class.0];
         let Some(hint) = request.cost_hint.filter(|_| class.answers >= FEW && class.time > 0.0) else {
--- a/src/state.rs
+++ b/src/state.rs
@@ -247,6 +247,12 @@
 }
 
 impl Endpoint {
+    /// The part of a class that it failed of late, or of the class that it failed most.
+    pub fn fault(&self, class: Option<usize>, now: Moment, fade: Duration) -> f64 {
+        let faults = self.faults.iter().enumerate().filter(|(c, _)| class.is_none_or(|class| class == *c));
+        faults.map(|(_, f)| f.part(now, fade)).fold(0.0, f64::max)
+    }
+
     /// Its process has started anew.
     pub fn restart(&mut self, up_since: Option<Moment>) {
         self.up_since = up_since;
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -990,3 +990,23 @@
     (set.limits.probes, set.reporting) = (false, Reporting::WithProbes);
     assert_eq!(count(&mut Host::new(set, listings(4))), 0, "forbidden");
 }
+
+#[test]
+fn what_must_not_run_twice_keeps_off_a_server_that_fails_other_classes() {
+    let mut host = Host::new(settings(), listings(4));
+    let bad = EndpointId::from("e0");
+    let mut risked = 0;
+    for n in 0..400 {
+        host.now = host.now + ms(10);
+        // Nineteen of twenty calls may be repeated; the server fails all of these that it gets.
+        let class = usize::from(n % 20 == 19);
+        let (id, actions) = host.request(class);
+        let Some(to) = sends(&actions).first().cloned() else { continue };
+        risked += usize::from(n >= 100 && class == 1 && to == bad);
+        let outcome = if to == bad && class == 0 { Outcome::Error } else { Outcome::Served };
+        let retried = sends(&host.end(&id, 0, outcome, 9, 0.0)).len();
+        (1..=retried).for_each(|attempt| drop(host.end(&id, attempt, Outcome::Served, 9, 0.0)));
+        host.tell(Event::ClientGone { request: id });
+    }
+    assert_eq!(risked, 0, "calls that must not run twice went to the one that fails");
+}
