Answer READY and STATS at a second address, with figures counted at the event

Figures live in counters.rs and feed both STATS and the log: a request's ticket is counted once, by its final status, an attempt when hyper flushes after it took the body whole. Rejected: a thread of its own for the calls. It would need the node's state behind locks or copied on a beat, and an event loop's turn here is milliseconds; bans and drains have to act in the node's turn anyway.

--- a/src/bin/rowanway/config.rs
+++ b/src/bin/rowanway/config.rs
@@ -12,6 +12,8 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where the operators call, if anywhere.
+    pub admin: Option<SocketAddr>,
     /// For random numbers; new with each start.
     pub seed: u64,
     /// File descriptors that this process may hold.
@@ -27,7 +29,7 @@
 /// What a reload cannot take over, by name: the module, the sockets and the budgets were made with it. The seed
 /// is none of it: it is new with each start, and only then of use.
 #[derive(PartialEq)]
-pub struct Fixed([(&'static str, Value); 4]);
+pub struct Fixed([(&'static str, Value); 5]);
 
 impl Fixed {
     /// The names of what differs.
@@ -41,6 +43,7 @@
     name: String,
     listen: SocketAddr,
     discovery: SocketAddr,
+    admin_addr: Option<SocketAddr>,
     #[serde(deserialize_with = "hexadecimal")]
     seed: u64,
     limits: Limits,
@@ -64,7 +67,18 @@
     pub fn from_environment() -> Result<Self, String> {
         let path = std::env::var_os("ROUTER_CONFIG").ok_or("ROUTER_CONFIG is not set")?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("{}: {e}", path.display()))?;
-        Self::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
+        let mut config = Self::parse(&text).map_err(|e| format!("{}: {e}", path.display()))?;
+        config.admin = Self::admin_from_environment()?.or(config.admin);
+        Ok(config)
+    }
+
+    /// The environment is this process's own, where a file may serve two of them during an upgrade: it goes first.
+    fn admin_from_environment() -> Result<Option<SocketAddr>, String> {
+        let Some(text) = std::env::var_os("ROUTER_ADMIN_ADDR").filter(|t| !t.is_empty()) else {
+            return Ok(None);
+        };
+        let address = text.to_str().and_then(|t| t.parse().ok());
+        address.map(Some).ok_or_else(|| format!("ROUTER_ADMIN_ADDR is no address: {}", text.display()))
     }
 
     fn parse(text: &str) -> Result<Self, String> {
@@ -74,6 +88,7 @@
         let fixed = Fixed([
             ("name", document.name.as_str().into()),
             ("listen", document.listen.to_string().into()),
+            ("admin_addr", document.admin_addr.map(|a| a.to_string()).into()),
             ("limits", serde_json::to_value(&document.limits).map_err(|e| e.to_string())?),
             ("settings", serde_json::from_str(document.settings.get()).map_err(|e| e.to_string())?),
         ]);
@@ -81,6 +96,7 @@
             name: document.name,
             listen: document.listen,
             discovery: document.discovery,
+            admin: document.admin_addr,
             seed: document.seed,
             sockets: document.limits.sockets,
             memory_mb: document.limits.memory_mb,
--- a/src/bin/rowanway/descriptors.rs
+++ b/src/bin/rowanway/descriptors.rs
@@ -25,8 +25,9 @@
 pub struct Permit(Rc<Cell<usize>>);
 
 impl Descriptors {
-    pub fn new(limit: usize) -> Self {
-        let budget = limit.saturating_sub(APART).max(limit / 2);
+    /// For a process that may hold so many, of which some more are set apart.
+    pub fn new(limit: usize, apart: usize) -> Self {
+        let budget = limit.saturating_sub(APART + apart).max(limit / 2);
         Descriptors { budget, callers: Rc::default(), endpoints: Rc::default() }
     }
 
--- a/src/bin/rowanway/endpoints.rs
+++ b/src/bin/rowanway/endpoints.rs
@@ -7,7 +7,7 @@
 use crate::node::{Handle, Task};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::uri::PathAndQuery;
@@ -17,6 +17,7 @@
 use socket2::SockRef;
 use std::cell::Cell;
 use std::collections::HashMap;
+use std::convert::Infallible;
 use std::error::Error;
 use std::io;
 use std::mem::MaybeUninit;
@@ -135,9 +136,9 @@
             return Ending::without_answer(Outcome::Moot);
         }
         let request = order.forward.request(order.until.since(node.borrow().clock.now()));
-        let written_before = link.written.get();
-        let answer = timeout_at(until, link.carry(request)).await;
-        let unwritten = link.written.get() == written_before;
+        let written_before = link.wire.written.get();
+        let answer = timeout_at(until, link.carry(request, true)).await;
+        let unwritten = link.wire.written.get() == written_before;
         match answer {
             Ok(Ok(answer)) => {
                 if answer.body.is_ok() {
@@ -176,7 +177,7 @@
     };
     let mut request = Request::new(Full::default());
     *request.uri_mut() = Uri::from_static("/status/load");
-    match link.carry(request).await {
+    match link.carry(request, false).await {
         Ok(answer) => {
             if answer.body.is_ok() {
                 node.put_back(link, place);
@@ -188,18 +189,18 @@
 }
 
 async fn connect(node: &Handle, address: SocketAddr) -> io::Result<Link> {
-    let permit = {
+    let (permit, attempts) = {
         let mut node = node.borrow();
         if node.pool.descriptors.are_spent() && !node.pool.close_oldest() && !node.callers.make_room() {
             return Err(io::Error::other("no descriptors left"));
         }
         node.counters.connects += 1;
-        node.pool.descriptors.permit(Side::Endpoints)
+        (node.pool.descriptors.permit(Side::Endpoints), node.figures.attempts.clone())
     };
     let stream = TcpStream::connect(address).await?;
     stream.set_nodelay(true)?;
-    let (stream, written) = (Rc::new(stream), Rc::new(Cell::new(0)));
-    let io = TokioIo::new(Counted { stream: stream.clone(), written: written.clone() });
+    let wire = Rc::new(Wire { stream, written: Cell::new(0), stage: Cell::new(Stage::Apart), attempts });
+    let io = TokioIo::new(Counted(wire.clone()));
     let mut builder = http1::Builder::new();
     let (sender, connection) =
         builder.max_buf_size(READ_BUFFER).handshake(io).await.map_err(io::Error::other)?;
@@ -208,7 +209,7 @@
         let _ = connection.await;
         drop(permit);
     });
-    Ok(Link { sender, stream, written, _task: task })
+    Ok(Link { sender, wire, _task: task })
 }
 
 impl Forward {
@@ -330,14 +331,76 @@
 
 /// A connection to an endpoint, closed when it is dropped.
 pub struct Link {
-    sender: SendRequest<Full<Bytes>>,
-    stream: Rc<TcpStream>,
-    written: Rc<Cell<u64>>,
+    sender: SendRequest<Outgoing>,
+    wire: Rc<Wire>,
     _task: Task,
 }
 
+/// How far the writing of an attempt has come.
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    /// None is being written, or it is counted.
+    Apart,
+    /// hyper has not taken all of it yet.
+    Begun,
+    /// hyper has taken all of it, and may have some in its buffer.
+    Taken,
+}
+
+/// A connection's socket, and what is known of the writing on it.
+struct Wire {
+    stream: TcpStream,
+    /// Bytes: an attempt of which none was written never ran.
+    written: Cell<u64>,
+    stage: Cell<Stage>,
+    /// The figure of attempts that were written whole.
+    attempts: Rc<Cell<u64>>,
+}
+
+/// A request's body on its way to an endpoint, which tells when hyper has taken it whole.
+struct Outgoing {
+    body: Full<Bytes>,
+    wire: Rc<Wire>,
+}
+
+impl Body for Outgoing {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+/// hyper lets go of a body as soon as it has all of it, at once where there is none.
+impl Drop for Outgoing {
+    fn drop(&mut self) {
+        if self.body.is_end_stream() && self.wire.stage.get() == Stage::Begun {
+            self.wire.stage.set(Stage::Taken);
+        }
+    }
+}
+
 impl Link {
-    async fn carry(&mut self, mut request: Request<Full<Bytes>>) -> Result<EndpointAnswer, Failure> {
+    /// Carries a request and its answer; `counts` where it is an attempt.
+    async fn carry(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        counts: bool,
+    ) -> Result<EndpointAnswer, Failure> {
+        self.wire.stage.set(if counts { Stage::Begun } else { Stage::Apart });
+        let mut request = request.map(|body| Outgoing { body, wire: self.wire.clone() });
         // hyper passes over any number of 1xx answers.
         let (seen, too_many) = (AtomicUsize::new(0), Arc::new(Notify::new()));
         let tell = too_many.clone();
@@ -361,16 +424,13 @@
     /// Whether it can carry a request now: nobody has closed it, and nothing has come that no request asked for,
     /// which would be taken for the next one's answer. The socket is asked, as the runtime hears of it later.
     fn is_clean(&self) -> bool {
-        let unread = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
+        let unread = SockRef::from(&self.wire.stream).peek(&mut [MaybeUninit::uninit()]);
         self.sender.is_ready() && unread.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 }
 
-/// A stream that counts what was written to it: an attempt of which nothing was never ran.
-struct Counted {
-    stream: Rc<TcpStream>,
-    written: Rc<Cell<u64>>,
-}
+/// A connection's socket as hyper has it.
+struct Counted(Rc<Wire>);
 
 impl AsyncRead for Counted {
     fn poll_read(
@@ -379,8 +439,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.stream.poll_read_ready(context))?;
-            match self.stream.try_read(buffer.initialize_unfilled()) {
+            ready!(self.0.stream.poll_read_ready(context))?;
+            match self.0.stream.try_read(buffer.initialize_unfilled()) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 read => return Poll::Ready(read.map(|n| buffer.advance(n))),
             }
@@ -399,12 +459,12 @@
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.stream.poll_write_ready(context))?;
-            match self.stream.try_write_vectored(parts) {
+            ready!(self.0.stream.poll_write_ready(context))?;
+            match self.0.stream.try_write_vectored(parts) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
                 written => {
                     let n = *written.as_ref().unwrap_or(&0);
-                    self.written.set(self.written.get() + n as u64);
+                    self.0.written.set(self.0.written.get() + n as u64);
                     return Poll::Ready(written);
                 }
             }
@@ -415,12 +475,17 @@
         true
     }
 
+    /// hyper flushes only what it has written out: an attempt that it had taken whole has its last byte written.
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.0.stage.get() == Stage::Taken {
+            self.0.stage.set(Stage::Apart);
+            self.0.attempts.set(self.0.attempts.get() + 1);
+        }
         Poll::Ready(Ok(()))
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.stream).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
     }
 }
 
--- a/src/bin/rowanway/main.rs
+++ b/src/bin/rowanway/main.rs
@@ -1,5 +1,6 @@
 //! The sidecar: one program that balances its callers' requests over endpoints, as the decision module says.
 
+mod admin;
 mod config;
 mod counters;
 mod descriptors;
@@ -46,11 +47,22 @@
 async fn run(config: Config) -> Result<(), String> {
     let mut stop = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
-    let (name, listen) = (config.name.clone(), config.listen);
+    let (name, listen, admin) = (config.name.clone(), config.listen, config.admin);
+    let admin = match admin {
+        Some(address) => Some(admin::listen(address).await?),
+        None => None,
+    };
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
     let listen = listener.local_addr().map_err(|e| format!("{listen}: {e}"))?;
     let node = Handle::start(config).map_err(|e| format!("settings: {e}"))?;
     let _reloads = Task::spawn(reload_on(node.clone(), reload));
+    let _calls = admin.map(|listener| {
+        match listener.local_addr() {
+            Ok(address) => eprintln!("rowanway: {name} is called at {address}"),
+            Err(failure) => eprintln!("rowanway: {name} is called at an address unknown: {failure}"),
+        }
+        Task::spawn(admin::serve(node.clone(), listener))
+    });
     eprintln!("rowanway: {name} listens on {listen}");
     serve(&node, listener, &mut stop).await;
     counters::tell(&node);
@@ -64,7 +76,10 @@
     while hangup.recv().await.is_some() {
         match Config::from_environment() {
             Ok(config) => node.reload(&config),
-            Err(problem) => eprintln!("rowanway: the configuration stays as it was: {problem}"),
+            Err(problem) => {
+                node.borrow().figures.reload_errors += 1;
+                eprintln!("rowanway: the configuration stays as it was: {problem}");
+            }
         }
     }
 }
--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -3,8 +3,9 @@
 //! Callers, attempts and discovery each run in local tasks and reach the node through [`Handle`], whose methods
 //! borrow it, pass an event on, carry out the actions and let go: never across an await.
 
+use crate::admin;
 use crate::config::{Config, Fixed};
-use crate::counters::{self, Counters};
+use crate::counters::{self, Counters, Figures};
 use crate::descriptors::{Bodies, Descriptors};
 use crate::discovery::{self, EndpointList, Source};
 use crate::endpoints::{self, Answered, Ending, Forward, Link, Order, Place, Pool};
@@ -115,6 +116,7 @@
     pub pool: Pool,
     pub bodies: Bodies,
     pub counters: Counters,
+    pub figures: Figures,
     balancer: Balancer,
     members: HashMap<EndpointId, Member>,
     /// The version of the list that the present discovery gave; none of another's counts there.
@@ -143,12 +145,14 @@
     /// # Errors
     /// Settings that the decision module cannot work with.
     pub fn start(config: Config) -> Result<Self, SettingsError> {
-        let descriptors = Descriptors::new(config.sockets);
+        let calls = config.admin.map_or(0, |_| admin::MOST_CONNECTIONS);
+        let descriptors = Descriptors::new(config.sockets, calls);
         let node = Handle(Rc::new(RefCell::new(Node {
             clock: Clock::start(),
             balancer: Balancer::new(config.settings.clone(), config.seed)?,
             callers: Callers::default(),
             counters: Counters::default(),
+            figures: Figures::default(),
             bodies: Bodies::new(config.memory_mb),
             pool: Pool::new(descriptors, &config.settings.limits),
             settings: Rc::new(config.settings),
@@ -165,6 +169,10 @@
             events: VecDeque::new(),
             actions: Vec::new(),
         })));
+        {
+            let Node { figures, settings, .. } = &mut *node.borrow();
+            figures.name(settings.classes.iter().map(|c| c.name.as_str()));
+        }
         if let Some(known) = config.known {
             node.borrow().version = Some(known.index);
             node.learn(known, News::Stale);
@@ -426,9 +434,14 @@
         self.balancer.census(self.clock.now())
     }
 
-    /// Whether an endpoint is known that takes work.
-    pub fn is_ready(&self) -> bool {
-        self.members.values().any(|m| m.ready)
+    /// Whether callers may be sent here: an endpoint is known that takes work, and nobody has told it to stop.
+    pub fn takes_callers(&self) -> bool {
+        self.members.values().any(|m| m.ready) && self.last_answer.is_none()
+    }
+
+    /// How many endpoints are listed, and how many of them are avoided now.
+    pub fn members(&self) -> (usize, usize) {
+        (self.members.len(), self.census().avoided)
     }
 
     fn carry_out(&mut self, handle: &Handle, action: Action) {
@@ -535,7 +548,6 @@
 
     fn answer(&mut self, request: &RequestId, answer: Answer) {
         if let Some(reply) = self.close(request) {
-            self.counters.answered(&answer);
             // A client that has just left is no concern of the module's: the request is over either way.
             let _ = reply.send(answer);
             self.forget_if_over(request);
--- a/src/bin/rowanway/server.rs
+++ b/src/bin/rowanway/server.rs
@@ -1,5 +1,6 @@
 //! Callers: their connections, what they ask, and the one answer that each request gets.
 
+use crate::counters::Ticket;
 use crate::descriptors::{Permit, Side};
 use crate::endpoints::{DEADLINE, Forward, LARGEST_BODY, end_to_end};
 use crate::inbound::{Fault, Inbound, Traffic};
@@ -209,12 +210,19 @@
         }
         match (request.uri().path(), request.method()) {
             ("/ready", &Method::GET) => {
-                let node = self.node.borrow();
-                let ready = node.is_ready() && node.last_answer.is_none();
+                let ready = self.node.borrow().takes_callers();
                 plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
             }
             ("/ready", _) => Wrong::method("GET").reply(),
-            ("/api", &Method::GET | &Method::POST) if self.turned_away => self.turn_away(),
+            ("/api", &Method::GET | &Method::POST) if self.turned_away => {
+                let class = request.headers().get("x-class").and_then(|v| v.to_str().ok());
+                let reply = self.turn_away();
+                let mut node = self.node.borrow();
+                let known =
+                    class.filter(|c| node.settings.classes.iter().any(|k| k.name == **c)).map(String::from);
+                known.iter().for_each(|c| node.figures.begin(c).end(reply.status()));
+                reply
+            }
             ("/api", &Method::GET | &Method::POST) => {
                 self.call(request, begun).await.unwrap_or_else(|wrong| {
                     // With a body that was not read to its end the next request's start is not known.
@@ -234,6 +242,19 @@
 
     /// A request for an endpoint.
     async fn call(&self, request: Request<Incoming>, begun: Instant) -> Result<Reply, Wrong> {
+        let mut ticket = None;
+        let answer = self.forward(request, begun, &mut ticket).await;
+        let status = answer.as_ref().map_or_else(|wrong| wrong.status, Response::status);
+        ticket.into_iter().for_each(|t| t.end(status));
+        answer
+    }
+
+    async fn forward(
+        &self,
+        request: Request<Incoming>,
+        begun: Instant,
+        ticket: &mut Option<Ticket>,
+    ) -> Result<Reply, Wrong> {
         let (clock, settings, rooms) = {
             let node = self.node.borrow();
             (node.clock, node.settings.clone(), node.bodies.clone())
@@ -243,6 +264,10 @@
         let early = !body.is_end_stream();
         let mut request =
             asks(&head.method, &head.headers, &settings, asked).map_err(|w| Wrong { early, ..w })?;
+        let ticket = {
+            let mut node = self.node.borrow();
+            ticket.insert(node.figures.begin(&settings.classes[request.class.0].name))
+        };
         let last_answer = self.node.borrow().last_answer;
         request.deadline = last_answer.map_or(request.deadline, |last| request.deadline.min(last));
         if body.size_hint().lower() > LARGEST_BODY as u64 {
@@ -264,6 +289,7 @@
             Ok(Err(_)) => return Err(Wrong::new(StatusCode::BAD_REQUEST, "the body is not whole")),
             Err(_) => return Err(Wrong::new(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
         };
+        ticket.is_whole();
         let path = head.uri.into_parts().path_and_query;
         let forward = Forward {
             method: head.method,
--- a/src/state.rs
+++ b/src/state.rs
@@ -108,6 +108,8 @@
     pub discarding: usize,
     /// Endpoints whose state was told and has not lapsed.
     pub informed: usize,
+    /// Listed endpoints that get nothing now: they drain, or every worth level is discarded there.
+    pub avoided: usize,
 }
 
 /// One instance of the balancer.
@@ -212,7 +214,9 @@
             census.gapping += usize::from(gapping > 0);
             census.discarding += usize::from(discarding > 0);
             census.informed += usize::from(now < self.endpoints[e].lapses);
+            census.avoided += usize::from(discarding == self.thresholds.len());
         }
+        census.avoided += self.endpoints.iter().filter(|e| e.listed && !e.ready).count();
         census
     }
 }
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -1,5 +1,6 @@
 //! The built program over loopback sockets. Each test says what of the code it guards.
 
+mod admin;
 mod callers;
 mod churn;
 mod reload;
--- a/tests/sidecar/stubs.rs
+++ b/tests/sidecar/stubs.rs
@@ -287,6 +287,8 @@
 
 pub struct Sidecar {
     pub address: SocketAddr,
+    /// Where it is called by the operators, if anywhere.
+    admin: Option<SocketAddr>,
     child: Child,
     log: Arc<Mutex<Vec<String>>>,
 }
@@ -317,9 +319,26 @@
            "known": {"index": 41, "snapshot": true, "endpoints": endpoints}})
 }
 
+/// The same with a second address.
+pub fn with_admin(mut config: Value) -> Value {
+    config["admin_addr"] = json!("127.0.0.1:0");
+    config
+}
+
+/// These endpoints, as a list has them.
+pub fn serving(endpoints: &[&Endpoint]) -> Vec<Value> {
+    let names = endpoints.iter().enumerate();
+    names.map(|(n, e)| entry(&format!("e{n}"), e.address, "SERVING")).collect()
+}
+
 pub fn command() -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_rowanway"));
-    command.env_remove("ROUTER_CONFIG").stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+    command
+        .env_remove("ROUTER_CONFIG")
+        .env_remove("ROUTER_ADMIN_ADDR")
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped());
     command
 }
 
@@ -352,38 +371,104 @@
         Self::run(command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()))
     }
 
-    fn run(command: &mut Command) -> Self {
+    pub fn run(command: &mut Command) -> Self {
         let mut child = command.spawn().expect("the program starts");
         let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines().map_while(Result::ok);
+        let told = |line: &str, what: &str| line.split_once(what).and_then(|(_, a)| a.parse().ok());
+        let mut admin = None;
         let address = lines
-            .find_map(|line| line.split_once("listens on ").and_then(|(_, a)| a.parse().ok()))
+            .find_map(|line| {
+                admin = admin.or(told(&line, "is called at "));
+                told(&line, "listens on ")
+            })
             .expect("it tells where it listens");
         let log = Arc::new(Mutex::new(Vec::new()));
         let kept = log.clone();
         thread::spawn(move || lines.for_each(|line| kept.lock().expect("the log").push(line)));
-        Sidecar { address, child, log }
+        Sidecar { address, admin, child, log }
+    }
+
+    /// One that the operators can call, with a discovery that says nothing.
+    pub fn with_admin(endpoints: &[&Endpoint]) -> (Self, Discovery) {
+        let discovery = Discovery::start();
+        (Self::start(&with_admin(config(discovery.address, &serving(endpoints)))), discovery)
     }
 
     /// One that knows these endpoints, all serving, and of a discovery that says nothing.
     pub fn over(endpoints: &[&Endpoint]) -> (Self, Discovery) {
         let discovery = Discovery::start();
-        let known: Vec<Value> = endpoints
-            .iter()
-            .enumerate()
-            .map(|(n, e)| entry(&format!("e{n}"), e.address, "SERVING"))
-            .collect();
-        (Self::start(&config(discovery.address, &known)), discovery)
+        (Self::start(&config(discovery.address, &serving(endpoints))), discovery)
     }
 
     pub fn client(&self) -> Client {
         Client::connect(self.address)
     }
 
+    pub fn admin(&self) -> SocketAddr {
+        self.admin.expect("it has a second address")
+    }
+
+    /// What it answers to these bytes on a connection of their own, up to its end.
+    pub fn calls(&self, bytes: &[u8]) -> String {
+        let mut stream = TcpStream::connect(self.admin()).expect("it accepts");
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        stream.write_all(bytes).expect("the call is written");
+        let mut answer = Vec::new();
+        let _ = stream.read_to_end(&mut answer); // what it closes with bytes unread is reset
+        String::from_utf8(answer).expect("text")
+    }
+
+    /// Calls with one word, and perhaps an id.
+    pub fn call(&self, call: &str) -> String {
+        self.calls(format!("{call}\n").as_bytes())
+    }
+
+    pub fn says_yes(&self, call: &str) -> bool {
+        let answer = self.call(call);
+        assert!(answer.starts_with("YES") || answer.starts_with("NO"), "{call}: {answer:?}");
+        answer.starts_with("YES")
+    }
+
+    /// One of its figures; none where it tells of no such.
+    pub fn figure(&self, name: &str) -> Option<u64> {
+        let stats = self.call("STATS");
+        assert!(stats.ends_with("\nEND\n"), "{stats}");
+        let line = stats.lines().find_map(|l| l.strip_prefix("app_")?.strip_prefix(name)?.strip_prefix(' '));
+        line.map(|value| value.parse().expect("a number"))
+    }
+
+    /// How many requests of a class ended so.
+    pub fn ended(&self, how: &str, class: &str) -> Option<u64> {
+        self.figure(&format!("{how}{{lane=\"{class}\"}}"))
+    }
+
     pub fn signal(&self, name: &str) {
         let sent = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
         assert!(sent.expect("kill runs").success());
     }
 
+    /// What its open descriptors are.
+    fn open_files(&self) -> Vec<String> {
+        let held = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs");
+        let links = held.filter_map(|entry| std::fs::read_link(entry.ok()?.path()).ok());
+        links.map(|link| link.display().to_string()).collect()
+    }
+
+    pub fn descriptors(&self) -> usize {
+        self.open_files().len()
+    }
+
+    /// How many of its sockets listen.
+    pub fn listeners(&self) -> usize {
+        let sockets = std::fs::read_to_string(format!("/proc/{}/net/tcp", self.child.id())).expect("it runs");
+        let listening = sockets.lines().filter_map(|line| {
+            let fields: Vec<&str> = line.split_whitespace().collect();
+            (fields.get(3) == Some(&"0A")).then(|| format!("socket:[{}]", fields[9]))
+        });
+        let listening: Vec<String> = listening.collect();
+        self.open_files().iter().filter(|f| listening.contains(f)).count()
+    }
+
     /// Its resident memory.
     pub fn memory_kb(&self) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
