Take the callers' listening socket over from the process that serves

Design: the older process listens on a Unix socket in TMPDIR and gives the callers' listening socket itself to whoever asks there (SCM_RIGHTS), so no queue of connections is ever closed. The newer one hears discovery first (3 s at most), then accepts and says so; the older one stops accepting and answers with Connection: close. Over the same socket both tell what they hold, and each leaves the other's part of the descriptors alone. Where the newer one ends, the older one lets callers in again. Only with a second address and TMPDIR; else, and where the hand-over fails, a plain start, with SO_REUSEPORT where there is a second address. Rejected: SO_REUSEPORT alone with the queue emptied before the close: between the last accept and the close a connection can still arrive and be reset, and nothing tells the older process when to stop.

--- a/src/bin/rowanway/descriptors.rs
+++ b/src/bin/rowanway/descriptors.rs
@@ -11,6 +11,9 @@
 
 pub struct Descriptors {
     budget: usize,
+    apart: usize,
+    /// What another process holds of the budget, while two are one sidecar.
+    others: Cell<usize>,
     callers: Rc<Cell<usize>>,
     endpoints: Rc<Cell<usize>>,
 }
@@ -28,7 +31,8 @@
     /// For a process that may hold so many, of which some more are set apart.
     pub fn new(limit: usize, apart: usize) -> Self {
         let budget = limit.saturating_sub(APART + apart).max(limit / 2);
-        Descriptors { budget, callers: Rc::default(), endpoints: Rc::default() }
+        let (others, callers, endpoints) = (Cell::default(), Rc::default(), Rc::default());
+        Descriptors { budget, apart: APART + apart, others, callers, endpoints }
     }
 
     pub fn permit(&self, side: Side) -> Permit {
@@ -45,9 +49,19 @@
         (self.callers.get(), self.endpoints.get())
     }
 
+    /// Another process holds so many connections, and what it has apart; or none is there.
+    pub fn others_hold(&self, connections: Option<usize>) {
+        self.others.set(connections.map_or(0, |n| n + self.apart));
+    }
+
+    /// The budget as far as it is this process's.
+    fn own(&self) -> usize {
+        self.budget.saturating_sub(self.others.get()).max(OVERDRAFT)
+    }
+
     /// All are in use.
     pub fn are_spent(&self) -> bool {
-        self.callers.get() + self.endpoints.get() >= self.budget
+        self.callers.get() + self.endpoints.get() >= self.own()
     }
 
     /// A further caller would take what attempts need: each request that is open may have one out, so the callers'
@@ -62,7 +76,7 @@
     }
 
     fn callers_part(&self) -> usize {
-        self.budget - self.budget * 3 / 8
+        self.own() - self.own() * 3 / 8
     }
 }
 
--- a/src/bin/rowanway/endpoints.rs
+++ b/src/bin/rowanway/endpoints.rs
@@ -496,6 +496,8 @@
     keep: Duration,
     idle: HashMap<EndpointId, Vec<Idle>>,
     swept: bool,
+    /// Idle connections kept to an endpoint.
+    most: usize,
 }
 
 struct Idle {
@@ -506,7 +508,7 @@
 impl Pool {
     pub fn new(descriptors: Descriptors, limits: &Limits) -> Self {
         let (keep, connect_timeout) = (limits.idle_close.mul_f64(IDLE_PART), limits.connect_timeout);
-        Pool { descriptors, connect_timeout, keep, idle: HashMap::new(), swept: false }
+        Pool { descriptors, connect_timeout, keep, idle: HashMap::new(), swept: false, most: MOST_KEPT }
     }
 
     fn take(&mut self, endpoint: &EndpointId) -> Option<Link> {
@@ -523,13 +525,21 @@
     /// Keeps a connection, if few are kept; true where nobody sweeps the pool yet.
     pub fn put_back(&mut self, endpoint: &EndpointId, link: Link) -> bool {
         let kept = self.idle.entry(endpoint.clone()).or_default();
-        if link.sender.is_closed() || kept.len() >= MOST_KEPT {
+        if link.sender.is_closed() || kept.len() >= self.most {
             return false;
         }
         kept.push(Idle { link, until: Instant::now() + self.keep });
         !std::mem::replace(&mut self.swept, true)
     }
 
+    /// Whether idle connections are kept. They are room that another process may need more.
+    pub fn keep_idle(&mut self, keep: bool) {
+        self.most = if keep { MOST_KEPT } else { 0 };
+        if !keep {
+            self.idle.clear();
+        }
+    }
+
     pub fn close_idle(&mut self, endpoint: &EndpointId) {
         self.idle.remove(endpoint);
     }
--- a/src/bin/rowanway/main.rs
+++ b/src/bin/rowanway/main.rs
@@ -9,15 +9,18 @@
 mod inbound;
 mod node;
 mod server;
+mod upgrade;
 
 use config::Config;
 use node::{Handle, Task};
+use std::os::fd::AsFd;
 use std::process::ExitCode;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 use tokio::time::{Instant, timeout, timeout_at};
+use upgrade::Folder;
 
 /// New connections go on coming for up to 0.4 s after the word to stop.
 const STILL_COMING: Duration = Duration::from_millis(600);
@@ -52,9 +55,13 @@
         Some(address) => Some(admin::listen(address).await?),
         None => None,
     };
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
-    let listen = listener.local_addr().map_err(|e| format!("{listen}: {e}"))?;
-    let node = Handle::start(config).map_err(|e| format!("settings: {e}"))?;
+    // Only one that is run day by day is replaced while it serves.
+    let folder = admin.as_ref().and_then(|_| Folder::from_environment());
+    let before = folder.as_ref().and_then(upgrade::ask);
+    let failed = |e| format!("{listen}: {e}");
+    let listener = upgrade::listen(listen, admin.is_some(), before.as_ref()).map_err(failed)?;
+    let listen = listener.local_addr().map_err(failed)?;
+    let node = Handle::start(config, before.is_some()).map_err(|e| format!("settings: {e}"))?;
     let _reloads = Task::spawn(reload_on(node.clone(), reload));
     let _calls = admin.map(|listener| {
         match listener.local_addr() {
@@ -64,6 +71,15 @@
         Task::spawn(admin::serve(node.clone(), listener))
     });
     eprintln!("rowanway: {name} listens on {listen}");
+    if let Some(before) = before {
+        let taken = upgrade::take_over(&node, before).await;
+        taken.map_err(|e| format!("the process before: {e}"))?;
+        eprintln!("rowanway: {name} takes over from the process before");
+    }
+    let _offer = match folder.map(|folder| Ok((folder, listener.as_fd().try_clone_to_owned()?))).transpose() {
+        Ok(offer) => offer.map(|(folder, fd)| Task::spawn(upgrade::offer(node.clone(), folder, fd.into()))),
+        Err(failure) => return Err(failed(failure)),
+    };
     serve(&node, listener, &mut stop).await;
     counters::tell(&node);
     eprintln!("rowanway: {name} has stopped");
--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -10,6 +10,7 @@
 use crate::discovery::{self, EndpointList, Source};
 use crate::endpoints::{self, Answered, Ending, Forward, Link, Order, Place, Pool};
 use crate::server::Callers;
+use crate::upgrade::{self, Twin};
 use passproxy::api::*;
 use passproxy::choice::{Balancer, Census};
 use std::cell::{RefCell, RefMut};
@@ -129,6 +130,10 @@
     watch_before: Option<Task>,
     /// Once it has been told to stop: when nothing may be unanswered any more.
     pub last_answer: Option<Moment>,
+    /// Until then callers are not asked for before discovery has spoken: another process serves them meanwhile.
+    listens_until: Option<Moment>,
+    /// The other process of this sidecar, while there is one.
+    pub twin: Option<Twin>,
     fixed: Fixed,
     telling: Option<Task>,
     events: VecDeque<Event>,
@@ -140,11 +145,12 @@
 pub struct Handle(Rc<RefCell<Node>>);
 
 impl Handle {
-    /// A node that has been told the endpoints in the configuration, and follows discovery as its module decides.
+    /// A node that has been told the endpoints in the configuration, and follows discovery as its module decides; at
+    /// once where it replaces a process that serves.
     ///
     /// # Errors
     /// Settings that the decision module cannot work with.
-    pub fn start(config: Config) -> Result<Self, SettingsError> {
+    pub fn start(config: Config, replaces: bool) -> Result<Self, SettingsError> {
         let calls = config.admin.map_or(0, |_| admin::MOST_CONNECTIONS);
         let descriptors = Descriptors::new(config.sockets, calls);
         let node = Handle(Rc::new(RefCell::new(Node {
@@ -164,6 +170,8 @@
             watch: None,
             watch_before: None,
             last_answer: None,
+            listens_until: None,
+            twin: None,
             fixed: config.fixed,
             telling: None,
             events: VecDeque::new(),
@@ -177,9 +185,13 @@
             node.borrow().version = Some(known.index);
             node.learn(known, News::Stale);
         }
-        if node.borrow().settings.discovery == Discovery::Pushed {
+        if replaces || node.borrow().settings.discovery == Discovery::Pushed {
             node.borrow().watch(&node);
         }
+        if replaces {
+            let until = node.borrow().clock.now() + upgrade::NEWS_WITHIN;
+            node.borrow().listens_until = Some(until);
+        }
         let telling = Task::spawn(counters::tell_each_period(node.clone()));
         node.borrow().telling = Some(telling);
         Ok(node)
@@ -339,6 +351,7 @@
     pub fn news(&self, source: Source, mut list: EndpointList) {
         let mut node = self.borrow();
         if source == node.discovery {
+            node.listens_until = None;
             if node.version.replace(list.index).is_none() {
                 // The first word after a move may be older than the last of the discovery before: what was told
                 // to drain does so for as long as its process lives.
@@ -436,7 +449,8 @@
 
     /// Whether callers may be sent here: an endpoint is known that takes work, and nobody has told it to stop.
     pub fn takes_callers(&self) -> bool {
-        self.members.values().any(|m| m.ready) && self.last_answer.is_none()
+        let listens = self.listens_until.is_some_and(|until| self.clock.now() < until);
+        self.members.values().any(|m| m.ready) && self.last_answer.is_none() && !listens
     }
 
     /// How many endpoints are listed, and how many of them are avoided now.
--- a/src/bin/rowanway/server.rs
+++ b/src/bin/rowanway/server.rs
@@ -24,7 +24,7 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::{spawn_local, yield_now};
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
@@ -55,6 +55,8 @@
     /// The sidecar stops: each connection closes once it is between requests.
     stopping: bool,
     gone: Rc<Notify>,
+    /// Another process lets callers in: each connection here closes with its next answer.
+    gone_over: watch::Sender<bool>,
 }
 
 struct Caller {
@@ -93,6 +95,21 @@
         self.connections.values().for_each(|c| c.close.notify_one());
     }
 
+    /// From now on another process lets callers in.
+    pub fn go_over(&mut self) {
+        self.gone_over.send_replace(true);
+    }
+
+    /// That process is gone; true where callers are let in here again.
+    pub fn come_back(&mut self) -> bool {
+        self.gone_over.send_replace(false) && !self.stopping
+    }
+
+    /// Whether a connection closes with its answer, so that its caller comes again elsewhere.
+    fn are_sent_away(&self) -> bool {
+        *self.gone_over.borrow()
+    }
+
     pub fn are_gone(&self) -> bool {
         self.connections.is_empty()
     }
@@ -103,11 +120,23 @@
     }
 }
 
-/// Accepts connections for as long as it is polled. Never waits for anything else: what stands in the kernel's
-/// backlog counts as taken. Others get their turn after each, above all those that were asked to make room.
+/// Accepts connections for as long as it is polled, unless another process does. Never waits for anything else: what
+/// stands in the kernel's backlog counts as taken. Others get their turn after each, above all those that were asked to
+/// make room.
 pub async fn accept(node: Handle, listener: &TcpListener) {
+    let mut gone_over = node.borrow().callers.gone_over.subscribe();
     loop {
-        match listener.accept().await {
+        if *gone_over.borrow_and_update() {
+            if gone_over.changed().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = gone_over.changed() => continue,
+        };
+        match accepted {
             Ok((stream, _)) => start(&node, stream),
             Err(failure) => {
                 eprintln!("rowanway: a connection could not be accepted: {failure}");
@@ -156,7 +185,7 @@
             traffic.idle_since.set(None);
             let begun = traffic.head_since.take().unwrap_or_else(Instant::now);
             let mut reply = self.answer(request, begun).await;
-            if traffic.last.get() {
+            if traffic.last.get() || self.node.borrow().callers.are_sent_away() {
                 reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
             traffic.idle_since.set(Some(Instant::now()));
--- /dev/null
+++ b/src/bin/rowanway/upgrade.rs
@@ -0,0 +1,293 @@
+//! The hand-over from a process to the one that replaces it, under load and with nothing lost on the way.
+//!
+//! The older process listens on a Unix socket in `$TMPDIR`, which both have and nobody else does. The newer one asks
+//! there for the callers' listening socket itself, so that no queue of connections is ever closed; what waits in it is
+//! let in by whichever process accepts. Once the newer one is ready it says so, and the older one stops accepting and
+//! asks its callers to come again. Until it ends, both tell each other what they hold of the limits that they share.
+
+use crate::node::{Handle, Node};
+use rustix::io::Errno;
+use rustix::net::{
+    RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
+    SendFlags, recvmsg, sendmsg,
+};
+use serde::{Deserialize, Serialize};
+use std::fs::File;
+use std::io::{self, IoSlice, IoSliceMut};
+use std::mem::MaybeUninit;
+use std::net::SocketAddr;
+use std::os::fd::{AsFd, AsRawFd};
+use std::os::unix::net::UnixStream as BlockingStream;
+use std::path::PathBuf;
+use std::time::Duration;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
+use tokio::net::{TcpListener, TcpSocket, UnixListener, UnixStream};
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep, timeout};
+
+/// The older process answers at once, or is not there.
+const ASKED: Duration = Duration::from_secs(1);
+/// How often each process tells the other what it holds.
+const BEAT: Duration = Duration::from_millis(50);
+/// The longest line between the two: a ban of an id of 256 bytes, escaped.
+const LONGEST_WORD: u64 = 4 << 10;
+/// Words that may wait to be written. The other side reads at once, or is gone.
+const MOST_WORDS: usize = 256;
+/// The newer process may listen to discovery for so long before it says that it is ready.
+pub const NEWS_WITHIN: Duration = Duration::from_secs(3);
+/// How often the newer process looks whether it is ready.
+const LOOK: Duration = Duration::from_millis(5);
+const BACKLOG: u32 = 1024;
+/// The longest path that an address of a Unix socket holds.
+const LONGEST_PATH: usize = 107;
+const NAME: &str = "rowanway.sock";
+
+/// What the two processes say to each other, a line each.
+#[derive(Deserialize, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Word {
+    /// So many connections are held.
+    Holds(usize),
+    /// The newer process lets callers in from now on.
+    Serving,
+}
+
+/// The other one of two processes that are one sidecar for a while.
+pub struct Twin(mpsc::Sender<Word>);
+
+impl Twin {
+    /// Tells the other process, if it still listens.
+    pub fn tell(&self, word: Word) {
+        let _ = self.0.try_send(word);
+    }
+}
+
+/// The folder that a sidecar's processes share.
+pub struct Folder {
+    path: PathBuf,
+    /// Open, so that a path too long for a socket's address can be named through it.
+    opened: File,
+}
+
+impl Folder {
+    /// `$TMPDIR`, if there is one that can be used.
+    pub fn from_environment() -> Option<Self> {
+        let path = PathBuf::from(std::env::var_os("TMPDIR").filter(|p| !p.is_empty())?);
+        let opened = File::open(&path).ok().filter(|f| f.metadata().is_ok_and(|m| m.is_dir()))?;
+        Some(Folder { path, opened })
+    }
+
+    fn file(&self, name: &str) -> PathBuf {
+        let path = self.path.join(name);
+        if path.as_os_str().len() <= LONGEST_PATH {
+            return path;
+        }
+        PathBuf::from(format!("/proc/self/fd/{}/{name}", self.opened.as_raw_fd()))
+    }
+}
+
+/// What the older process has handed over.
+pub struct Before {
+    listener: std::net::TcpListener,
+    stream: BlockingStream,
+}
+
+/// Asks the process that serves already, if one does, for its listening socket.
+pub fn ask(folder: &Folder) -> Option<Before> {
+    // Nobody there is the usual case, at every start but an upgrade.
+    let stream = BlockingStream::connect(folder.file(NAME)).ok()?;
+    match receive(&stream) {
+        Ok(listener) => Some(Before { listener, stream }),
+        Err(failure) => {
+            eprintln!("rowanway: the process before hands nothing over: {failure}");
+            None
+        }
+    }
+}
+
+fn receive(stream: &BlockingStream) -> io::Result<std::net::TcpListener> {
+    stream.set_read_timeout(Some(ASKED))?;
+    let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+    let mut control = RecvAncillaryBuffer::new(&mut space);
+    let mut byte = [0];
+    recvmsg(stream, &mut [IoSliceMut::new(&mut byte)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
+    let descriptors = control.drain().filter_map(|message| match message {
+        RecvAncillaryMessage::ScmRights(descriptors) => Some(descriptors),
+        _ => None,
+    });
+    let descriptor = descriptors.flatten().next();
+    let descriptor = descriptor.ok_or_else(|| io::Error::other("no socket came along"))?;
+    Ok(descriptor.into())
+}
+
+/// Listens for callers: on the socket handed over, or on one of its own. That one may be shared, so that a
+/// hand-over that fails leaves an upgrade possible all the same.
+pub fn listen(address: SocketAddr, shared: bool, before: Option<&Before>) -> io::Result<TcpListener> {
+    if let Some(before) = before {
+        before.listener.set_nonblocking(true)?;
+        return TcpListener::from_std(before.listener.try_clone()?);
+    }
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    if shared {
+        socket.set_reuseport(true)?;
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// The newer process's part: it waits until it is ready, has callers come to it, and stays in touch until the older one
+/// has ended.
+pub async fn take_over(node: &Handle, before: Before) -> io::Result<()> {
+    let until = Instant::now() + NEWS_WITHIN;
+    while !node.borrow().takes_callers() && Instant::now() < until {
+        sleep(LOOK).await;
+    }
+    before.stream.set_nonblocking(true)?;
+    let stream = UnixStream::from_std(before.stream)?;
+    let twin = node.clone().meet();
+    node.borrow().tell_twin(Word::Serving);
+    let node = node.clone();
+    tokio::task::spawn_local(async move {
+        talk(&node, stream, twin).await;
+        node.part();
+        eprintln!("rowanway: the process before has ended");
+    });
+    Ok(())
+}
+
+/// The older process's part: hands the listening socket to whoever asks for it, one after another, and stays in touch
+/// until that one has ended.
+pub async fn offer(node: Handle, folder: Folder, listener: std::net::TcpListener) {
+    let bind = || {
+        // Bound aside and moved into place: the socket of the process before gives way without a gap.
+        let (aside, place) = (folder.file(&format!("{}.sock", std::process::id())), folder.file(NAME));
+        let _ = std::fs::remove_file(&aside);
+        UnixListener::bind(&aside).and_then(|l| std::fs::rename(&aside, place).map(|()| l))
+    };
+    let mut asked = match bind() {
+        Ok(asked) => asked,
+        Err(failure) => return eprintln!("rowanway: no hand-over from this process: {failure}"),
+    };
+    loop {
+        let Ok((stream, _)) = asked.accept().await else {
+            sleep(BEAT).await;
+            continue;
+        };
+        if let Err(failure) = give(&stream, &listener).await {
+            eprintln!("rowanway: the callers' socket could not be handed over: {failure}");
+            continue;
+        }
+        let twin = node.meet();
+        talk(&node, stream, twin).await;
+        node.part();
+        let back = {
+            let mut node = node.borrow();
+            node.pool.keep_idle(true);
+            node.callers.come_back()
+        };
+        if back {
+            eprintln!("rowanway: the process after has ended; callers are let in here again");
+            asked = match bind() {
+                Ok(again) => again,
+                Err(failure) => return eprintln!("rowanway: no hand-over from this process: {failure}"),
+            };
+        }
+    }
+}
+
+async fn give(stream: &UnixStream, listener: &std::net::TcpListener) -> io::Result<()> {
+    let give = || {
+        let descriptors = [listener.as_fd()];
+        let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
+        let mut control = SendAncillaryBuffer::new(&mut space);
+        control.push(SendAncillaryMessage::ScmRights(&descriptors));
+        sendmsg(stream, &[IoSlice::new(b"L")], &mut control, SendFlags::NOSIGNAL).map_err(Errno::into)
+    };
+    let given = stream.async_io(tokio::io::Interest::WRITABLE, give);
+    timeout(ASKED, given).await?.map(drop)
+}
+
+/// Words go back and forth until the other process's end.
+async fn talk(node: &Handle, stream: UnixStream, mut words: mpsc::Receiver<Word>) {
+    let (from, mut to) = stream.into_split();
+    let write = async {
+        let mut told = None;
+        loop {
+            let word = match timeout(BEAT, words.recv()).await {
+                Ok(Some(word)) => word,
+                Ok(None) => return,
+                Err(_) => {
+                    let held = node.borrow().pool.descriptors.held();
+                    let held = held.0 + held.1;
+                    if told.replace(held) == Some(held) {
+                        continue;
+                    }
+                    Word::Holds(held)
+                }
+            };
+            let Ok(mut line) = serde_json::to_vec(&word) else { continue };
+            line.push(b'\n');
+            if to.write_all(&line).await.is_err() {
+                return;
+            }
+        }
+    };
+    let read = async {
+        let mut lines = BufReader::new(from);
+        loop {
+            let mut line = Vec::new();
+            let read = (&mut lines).take(LONGEST_WORD).read_until(b'\n', &mut line).await;
+            if !read.is_ok_and(|n| n > 0) {
+                return;
+            }
+            match serde_json::from_slice(&line) {
+                Ok(word) => node.hear(word),
+                // Another version of the program may say more than this one understands.
+                Err(failure) => eprintln!("rowanway: the other process says what is not known: {failure}"),
+            }
+        }
+    };
+    tokio::select! {
+        () = write => {}
+        () = read => {}
+    }
+}
+
+impl Handle {
+    /// Another process has come beside this one.
+    fn meet(&self) -> mpsc::Receiver<Word> {
+        let (sender, words) = mpsc::channel(MOST_WORDS);
+        self.borrow().twin = Some(Twin(sender));
+        words
+    }
+
+    /// The other process is gone, and all that it held.
+    fn part(&self) {
+        let mut node = self.borrow();
+        node.twin = None;
+        node.pool.descriptors.others_hold(None);
+    }
+
+    fn hear(&self, word: Word) {
+        let mut guard = self.borrow();
+        let Node { pool, callers, .. } = &mut *guard;
+        match word {
+            Word::Holds(connections) => pool.descriptors.others_hold(Some(connections)),
+            Word::Serving => {
+                callers.go_over();
+                pool.keep_idle(false);
+                eprintln!("rowanway: callers go over to the process after");
+            }
+        }
+    }
+}
+
+impl Node {
+    /// Tells the other process, while there is one.
+    pub fn tell_twin(&self, word: Word) {
+        if let Some(twin) = &self.twin {
+            twin.tell(word);
+        }
+    }
+}
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -6,6 +6,7 @@
 mod reload;
 mod spoilt;
 mod stubs;
+mod upgrade;
 
 use serde_json::json;
 use std::io::Read;
--- a/tests/sidecar/stubs.rs
+++ b/tests/sidecar/stubs.rs
@@ -333,13 +333,24 @@
 
 pub fn command() -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_rowanway"));
+    isolate(&mut command);
     command
-        .env_remove("ROUTER_CONFIG")
-        .env_remove("ROUTER_ADMIN_ADDR")
-        .stdin(Stdio::null())
-        .stdout(Stdio::null())
-        .stderr(Stdio::piped());
-    command
+}
+
+/// Keeps what this process has in its environment, and says, from another.
+fn isolate(command: &mut Command) {
+    for name in ["ROUTER_CONFIG", "ROUTER_ADMIN_ADDR", "TMPDIR"] {
+        command.env_remove(name);
+    }
+    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped());
+}
+
+/// An empty folder of this test's own.
+pub fn folder() -> std::path::PathBuf {
+    let name = format!("tmp-{}-{}", std::process::id(), fresh_id());
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::create_dir(&path).expect("a folder");
+    path
 }
 
 /// A file of this test's own with the text.
@@ -363,12 +374,20 @@
         Self::run(command().env("ROUTER_CONFIG", path))
     }
 
+    /// One that shares a folder with those before and after it.
+    pub fn start_in(folder: &std::path::Path, config: &Value) -> Self {
+        let path = file(&config.to_string());
+        let sidecar = Self::run(command().env("ROUTER_CONFIG", &path).env("TMPDIR", folder));
+        std::fs::remove_file(path).expect("the file goes");
+        sidecar
+    }
+
     /// One that may hold so many descriptors.
     pub fn limited(path: &std::path::Path, descriptors: usize) -> Self {
         let script = format!("ulimit -n {descriptors}; exec {}", env!("CARGO_BIN_EXE_rowanway"));
         let mut command = Command::new("sh");
-        command.args(["-c", &script]).env("ROUTER_CONFIG", path);
-        Self::run(command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()))
+        isolate(&mut command);
+        Self::run(command.args(["-c", &script]).env("ROUTER_CONFIG", path))
     }
 
     pub fn run(command: &mut Command) -> Self {
@@ -476,6 +495,11 @@
         line.trim().trim_end_matches(" kB").parse().expect("a number")
     }
 
+    pub fn kill(&mut self) {
+        self.child.kill().expect("it runs");
+        let _ = self.child.wait();
+    }
+
     pub fn terminate(&self) {
         self.signal("TERM");
     }
--- /dev/null
+++ b/tests/sidecar/upgrade.rs
@@ -0,0 +1,178 @@
+//! Upgrades: a process takes over from the one that serves, under load.
+
+use crate::stubs::*;
+use serde_json::{Value, json};
+use std::net::SocketAddr;
+use std::os::unix::net::UnixListener;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread;
+use std::time::Duration;
+
+/// A sidecar that can be replaced: its folder, discovery and endpoints.
+struct Place {
+    folder: PathBuf,
+    discovery: Discovery,
+    known: Vec<Value>,
+}
+
+impl Place {
+    fn over(endpoints: &[&Endpoint]) -> Self {
+        Place { folder: folder(), discovery: Discovery::start(), known: serving(endpoints) }
+    }
+
+    /// The next process, at the address of the one before.
+    fn start(&self, at: Option<SocketAddr>) -> Sidecar {
+        let mut config = with_admin(config(self.discovery.address, &self.known));
+        if let Some(address) = at {
+            config["listen"] = json!(address.to_string());
+        }
+        Sidecar::start_in(&self.folder, &config)
+    }
+
+    /// Answers the next process's question for the whole list.
+    fn speaks(&self) {
+        let mut watch = self.discovery.next_watch();
+        watch.write_line(&list(41, true, &self.known));
+        watch.finish();
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// Asks for as long as it is told to, as clients do: on one connection until it is told that it closes.
+fn asks_on(address: SocketAddr, done: &AtomicBool, served: &AtomicUsize) {
+    let mut client = Client::connect(address);
+    while !done.load(Ordering::Relaxed) {
+        let answer = client.ask(&get("10"));
+        assert_eq!(answer.status(), 200);
+        served.fetch_add(1, Ordering::Relaxed);
+        if answer.header("connection") == Some("close") {
+            client = Client::connect(address);
+        }
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Guards the whole upgrade, twice in a row: requests go on throughout, and none ends without its answer; the older
+/// process lets callers go one by one and ends by itself.
+#[test]
+fn a_process_takes_over_under_load() {
+    let endpoint = Endpoint::start(|_| ok("x"));
+    let place = Place::over(&[&endpoint]);
+    let mut serves = place.start(None);
+    let address = serves.address;
+    let (done, served) = (AtomicBool::new(false), AtomicUsize::new(0));
+    thread::scope(|scope| {
+        for _ in 0..6 {
+            scope.spawn(|| asks_on(address, &done, &served));
+        }
+        for _ in 0..2 {
+            let next = place.start(Some(address));
+            awaits("it is ready", || next.says_yes("READY"));
+            awaits("callers come to it", || next.ended("completed", "safe").is_some_and(|n| n > 20));
+            serves.awaits_log("callers go over to the process after");
+            serves.terminate();
+            assert!(serves.wait().success());
+            next.awaits_log("the process before has ended");
+            serves = next;
+        }
+        done.store(true, Ordering::Relaxed);
+    });
+    assert!(served.into_inner() > 40);
+}
+
+/// Guards readiness: a list in the configuration may be old, and the older process serves meanwhile; discovery is heard
+/// first, for a while.
+#[test]
+fn discovery_is_heard_before_callers_are() {
+    let endpoint = Endpoint::start(|_| ok("x"));
+    let mut place = Place::over(&[&endpoint]);
+    let before = place.start(None);
+    place.known[0]["status"] = json!("DRAINING");
+    place.speaks();
+    let next = place.start(Some(before.address));
+    place.speaks();
+    next.awaits_log("takes over");
+    assert!(!next.says_yes("READY"), "all that it knows of drains");
+}
+
+/// Guards the older process's service: where the newer one ends, callers are let in again, and the next one can take
+/// over all the same.
+#[test]
+fn callers_come_back_where_the_newer_process_ends() {
+    let endpoint = Endpoint::start(|_| ok("x"));
+    let place = Place::over(&[&endpoint]);
+    let before = place.start(None);
+    let mut kept = before.client();
+    assert_eq!(kept.ask(&get("5")).status(), 200);
+    let told = |what: &str| before.log().iter().filter(|l| l.contains(what)).count();
+    for times in 1..=2 {
+        let mut next = place.start(Some(before.address));
+        awaits("callers go over", || told("callers go over") == times);
+        assert_eq!(before.client().ask(&get("5")).status(), 200, "the newer one answers");
+        next.kill();
+        awaits("they are let in again", || told("let in here again") == times);
+        assert_eq!(before.client().ask(&get("5")).status(), 200);
+    }
+    assert_eq!(kept.ask(&get("5")).status(), 200, "it was between requests all the time");
+}
+
+/// Guards the start against whatever else lies in the folder, or at the other end of the socket there.
+#[test]
+fn what_is_no_process_before_does_not_matter() {
+    let endpoint = Endpoint::start(|_| ok("x"));
+    let place = Place::over(&[&endpoint]);
+    let socket = place.folder.join("rowanway.sock");
+    std::fs::write(&socket, "no socket").expect("a file");
+    assert!(place.start(None).says_yes("READY"));
+    // What the last one left is stale.
+    assert!(place.start(None).says_yes("READY"));
+    std::fs::remove_file(&socket).expect("it goes");
+    let silent = UnixListener::bind(&socket).expect("a socket");
+    let sidecar = place.start(None);
+    assert_eq!(sidecar.client().ask(&get("5")).status(), 200);
+    drop(silent);
+    std::fs::remove_file(&socket).expect("it goes");
+    std::fs::create_dir(&socket).expect("a folder in its place");
+    let sidecar = place.start(None);
+    sidecar.awaits_log("no hand-over from this process");
+    assert_eq!(sidecar.client().ask(&get("5")).status(), 200);
+    let config = with_admin(config(place.discovery.address, &place.known));
+    assert!(Sidecar::start_in(&place.folder.join("nowhere"), &config).says_yes("READY"));
+}
+
+/// Guards the limit that two processes share: while the older one holds connections, the newer one has fewer to hold.
+#[test]
+fn descriptors_are_shared() {
+    let endpoint = Endpoint::start(|_| Does::Hangs);
+    let place = Place::over(&[&endpoint]);
+    let start = |at: Option<SocketAddr>| {
+        let mut config = with_admin(config(place.discovery.address, &place.known));
+        config["limits"]["sockets"] = json!(256);
+        config["listen"] = json!(at.map_or("127.0.0.1:0".into(), |a| a.to_string()));
+        Sidecar::start_in(&place.folder, &config)
+    };
+    let before = start(None);
+    let hold = |sidecar: &Sidecar, n: usize| -> Vec<Client> {
+        let ask = |_| {
+            let mut client = sidecar.client();
+            client.write(&post("unsafe", "15", "x"));
+            client
+        };
+        (0..n).map(ask).collect()
+    };
+    let _held = hold(&before, 40);
+    awaits("it holds them", || before.figure("pending") == Some(40));
+    let next = start(Some(before.address));
+    before.awaits_log("callers go over");
+    thread::sleep(Duration::from_millis(200)); // they tell each other what they hold
+    let _more = hold(&next, 100);
+    awaits("the rest is turned away", || next.ended("rejected", "unsafe").is_some_and(|n| n > 10));
+    let held = before.descriptors() + next.descriptors();
+    assert!(held <= 256, "{held}");
+}
