Take endpoints out and back at the operators' word

Design: a ban is an event of the module, which keeps the set of ids; an endpoint in it is not ready whatever lists say, so picks, probes, held calls and retries pass it by, and the node asks once more before an attempt's first byte. Back, it counts as cold from that moment (the list tells of its restart late), and its first turn is due at once. The set is kept in TMPDIR, written aside and renamed, and told over the upgrade's socket while there are two processes. Rejected: marking the endpoint as draining in the host's list. The next whole list undoes it, the module would take the return for an ordinary one (warm, no first turn), and decisions belong into the module.

--- a/src/api.rs
+++ b/src/api.rs
@@ -608,6 +608,13 @@
         /// The entries; the host may share one parsed list between instances.
         entries: Arc<[Listing]>,
     },
+    /// By the operators' word, an endpoint is to get nothing more, whatever lists say of it, or is to be used again.
+    Banned {
+        /// Which.
+        endpoint: EndpointId,
+        /// Nothing more, or used again. Said twice it is as said once.
+        out: bool,
+    },
     /// A request to answer.
     Request(Request),
     /// A streamed answer has begun; the attempt belongs to the client now.
--- a/src/bin/rowanway/main.rs
+++ b/src/bin/rowanway/main.rs
@@ -15,6 +15,7 @@
 use node::{Handle, Task};
 use std::os::fd::AsFd;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{Signal, SignalKind, signal};
@@ -57,11 +58,13 @@
     };
     // Only one that is run day by day is replaced while it serves.
     let folder = admin.as_ref().and_then(|_| Folder::from_environment());
-    let before = folder.as_ref().and_then(upgrade::ask);
+    let folder = folder.map(Rc::new);
+    let before = folder.as_deref().and_then(upgrade::ask);
     let failed = |e| format!("{listen}: {e}");
     let listener = upgrade::listen(listen, admin.is_some(), before.as_ref()).map_err(failed)?;
     let listen = listener.local_addr().map_err(failed)?;
-    let node = Handle::start(config, before.is_some()).map_err(|e| format!("settings: {e}"))?;
+    let node =
+        Handle::start(config, folder.clone(), before.is_some()).map_err(|e| format!("settings: {e}"))?;
     let _reloads = Task::spawn(reload_on(node.clone(), reload));
     let _calls = admin.map(|listener| {
         match listener.local_addr() {
--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -10,7 +10,7 @@
 use crate::discovery::{self, EndpointList, Source};
 use crate::endpoints::{self, Answered, Ending, Forward, Link, Order, Place, Pool};
 use crate::server::Callers;
-use crate::upgrade::{self, Twin};
+use crate::upgrade::{self, Folder, Twin, Word};
 use passproxy::api::*;
 use passproxy::choice::{Balancer, Census};
 use std::cell::{RefCell, RefMut};
@@ -134,6 +134,8 @@
     listens_until: Option<Moment>,
     /// The other process of this sidecar, while there is one.
     pub twin: Option<Twin>,
+    /// What it shares with the processes before and after it.
+    pub folder: Option<Rc<Folder>>,
     fixed: Fixed,
     telling: Option<Task>,
     events: VecDeque<Event>,
@@ -150,7 +152,7 @@
     ///
     /// # Errors
     /// Settings that the decision module cannot work with.
-    pub fn start(config: Config, replaces: bool) -> Result<Self, SettingsError> {
+    pub fn start(config: Config, folder: Option<Rc<Folder>>, replaces: bool) -> Result<Self, SettingsError> {
         let calls = config.admin.map_or(0, |_| admin::MOST_CONNECTIONS);
         let descriptors = Descriptors::new(config.sockets, calls);
         let node = Handle(Rc::new(RefCell::new(Node {
@@ -172,11 +174,14 @@
             last_answer: None,
             listens_until: None,
             twin: None,
+            folder,
             fixed: config.fixed,
             telling: None,
             events: VecDeque::new(),
             actions: Vec::new(),
         })));
+        let bans = node.borrow().folder.as_ref().map(|f| f.bans()).unwrap_or_default();
+        bans.iter().for_each(|endpoint| node.banned(endpoint.as_str().into(), true));
         {
             let Node { figures, settings, .. } = &mut *node.borrow();
             figures.name(settings.classes.iter().map(|c| c.name.as_str()));
@@ -291,18 +296,14 @@
         let Some(open) = node.open.get(&order.request) else { return false };
         let out = open.attempts.get(order.attempt).is_some_and(|a| a.task.is_some());
         let place = &order.place;
-        let takes =
-            node.members.get(&place.endpoint).is_some_and(|m| m.ready && m.up_since == place.up_since);
+        let takes = node.takes_work(place);
         open.reply.is_some() && out && takes && node.clock.now() < order.until
     }
 
     /// Returns a connection that carried an attempt or a probe to its end, if its endpoint still takes work.
     pub fn put_back(&self, link: Link, place: &Place) {
         let mut node = self.borrow();
-        let member = node.members.get(&place.endpoint);
-        let same =
-            member.is_some_and(|m| m.ready && m.up_since == place.up_since && m.address == place.address);
-        if same && node.pool.put_back(&place.endpoint, link) {
+        if node.takes_work(place) && node.pool.put_back(&place.endpoint, link) {
             spawn_local(endpoints::sweep(self.clone()));
         }
     }
@@ -339,6 +340,31 @@
         self.tell(Event::Probed { endpoint: place.endpoint.clone(), outcome, took, report });
     }
 
+    // ---- The operators' word ---------------------------------------------------------------------------------
+
+    /// Takes an endpoint out, or back in; false where no such is known. It is kept for the next process, and told to
+    /// the other one, if there are two now.
+    pub fn ban(&self, endpoint: EndpointId, out: bool) -> bool {
+        let node = self.borrow();
+        if !node.balancer.knows(&endpoint) {
+            return false;
+        }
+        node.tell_twin(Word::Ban { endpoint: endpoint.0.to_string(), out });
+        drop(node);
+        self.banned(endpoint, out);
+        true
+    }
+
+    /// An endpoint is taken out or back in, here or by the other process.
+    pub fn banned(&self, endpoint: EndpointId, out: bool) {
+        eprintln!("rowanway: endpoint {} is {} by hand", endpoint.0, if out { "taken out" } else { "back" });
+        self.tell(Event::Banned { endpoint, out });
+        let node = self.borrow();
+        if let Some(folder) = &node.folder {
+            folder.keep_bans(node.balancer.banned().map(|e| &*e.0));
+        }
+    }
+
     // ---- Endpoints ---------------------------------------------------------------------------------------
 
     /// The version that a source's changes may follow on.
@@ -442,6 +468,22 @@
         self.last_answer = Some(self.clock.now() + within);
     }
 
+    /// Whether an endpoint's process takes work, by the list and by the operators.
+    fn takes_work(&self, place: &Place) -> bool {
+        let same = |m: &Member| m.ready && m.up_since == place.up_since && m.address == place.address;
+        self.members.get(&place.endpoint).is_some_and(same) && !self.is_banned(&place.endpoint)
+    }
+
+    /// Whether the operators have taken an endpoint out.
+    pub fn is_banned(&self, endpoint: &EndpointId) -> bool {
+        self.balancer.is_banned(endpoint)
+    }
+
+    /// The endpoints that the operators have taken out.
+    pub fn bans(&self) -> impl Iterator<Item = &EndpointId> {
+        self.balancer.banned()
+    }
+
     /// How the module stands.
     pub fn census(&self) -> Census {
         self.balancer.census(self.clock.now())
@@ -450,7 +492,9 @@
     /// Whether callers may be sent here: an endpoint is known that takes work, and nobody has told it to stop.
     pub fn takes_callers(&self) -> bool {
         let listens = self.listens_until.is_some_and(|until| self.clock.now() < until);
-        self.members.values().any(|m| m.ready) && self.last_answer.is_none() && !listens
+        self.members.iter().any(|(e, m)| m.ready && !self.is_banned(e))
+            && self.last_answer.is_none()
+            && !listens
     }
 
     /// How many endpoints are listed, and how many of them are avoided now.
--- a/src/bin/rowanway/upgrade.rs
+++ b/src/bin/rowanway/upgrade.rs
@@ -13,12 +13,13 @@
 };
 use serde::{Deserialize, Serialize};
 use std::fs::File;
-use std::io::{self, IoSlice, IoSliceMut};
+use std::io::{self, IoSlice, IoSliceMut, Read};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::os::fd::{AsFd, AsRawFd};
 use std::os::unix::net::UnixStream as BlockingStream;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpSocket, UnixListener, UnixStream};
@@ -40,7 +41,10 @@
 const BACKLOG: u32 = 1024;
 /// The longest path that an address of a Unix socket holds.
 const LONGEST_PATH: usize = 107;
-const NAME: &str = "rowanway.sock";
+const SOCKET: &str = "rowanway.sock";
+const BANS: &str = "rowanway.bans";
+/// The largest file of bans that is read: thousands of them.
+const MOST_BANS: u64 = 1 << 20;
 
 /// What the two processes say to each other, a line each.
 #[derive(Deserialize, Serialize)]
@@ -50,6 +54,8 @@
     Holds(usize),
     /// The newer process lets callers in from now on.
     Serving,
+    /// The operators have taken an endpoint out, or back in.
+    Ban { endpoint: String, out: bool },
 }
 
 /// The other one of two processes that are one sidecar for a while.
@@ -86,6 +92,40 @@
     }
 }
 
+impl Folder {
+    /// The endpoints that the operators had taken out when the process before ended, or as it goes on. What cannot be
+    /// read is one line of the log.
+    pub fn bans(&self) -> Vec<String> {
+        let read = || -> Result<Vec<String>, Box<dyn std::error::Error>> {
+            let mut text = String::new();
+            File::open(self.file(BANS))?.take(MOST_BANS).read_to_string(&mut text)?;
+            Ok(serde_json::from_str(&text)?)
+        };
+        match read() {
+            Ok(bans) => bans,
+            Err(e) if e.downcast_ref().is_some_and(|e: &io::Error| e.kind() == io::ErrorKind::NotFound) => {
+                Vec::new()
+            }
+            Err(failure) => {
+                eprintln!("rowanway: the file of endpoints taken out is ignored: {failure}");
+                Vec::new()
+            }
+        }
+    }
+
+    /// Keeps them for the next process: written aside and moved into place, so that no reader finds half of it.
+    pub fn keep_bans<'a>(&self, bans: impl Iterator<Item = &'a str>) {
+        let (aside, place) = (self.file(&format!("{}.bans", std::process::id())), self.file(BANS));
+        let keep = |aside: &Path| -> io::Result<()> {
+            std::fs::write(aside, serde_json::to_vec(&bans.collect::<Vec<_>>())?)?;
+            std::fs::rename(aside, place)
+        };
+        if let Err(failure) = keep(&aside) {
+            eprintln!("rowanway: an upgrade will not know what is taken out: {failure}");
+        }
+    }
+}
+
 /// What the older process has handed over.
 pub struct Before {
     listener: std::net::TcpListener,
@@ -95,7 +135,7 @@
 /// Asks the process that serves already, if one does, for its listening socket.
 pub fn ask(folder: &Folder) -> Option<Before> {
     // Nobody there is the usual case, at every start but an upgrade.
-    let stream = BlockingStream::connect(folder.file(NAME)).ok()?;
+    let stream = BlockingStream::connect(folder.file(SOCKET)).ok()?;
     match receive(&stream) {
         Ok(listener) => Some(Before { listener, stream }),
         Err(failure) => {
@@ -139,29 +179,28 @@
 /// The newer process's part: it waits until it is ready, has callers come to it, and stays in touch until the older one
 /// has ended.
 pub async fn take_over(node: &Handle, before: Before) -> io::Result<()> {
-    let until = Instant::now() + NEWS_WITHIN;
-    while !node.borrow().takes_callers() && Instant::now() < until {
-        sleep(LOOK).await;
-    }
     before.stream.set_nonblocking(true)?;
     let stream = UnixStream::from_std(before.stream)?;
-    let twin = node.clone().meet();
-    node.borrow().tell_twin(Word::Serving);
-    let node = node.clone();
+    let (twin, words) = (node.clone(), node.meet());
     tokio::task::spawn_local(async move {
-        talk(&node, stream, twin).await;
-        node.part();
+        talk(&twin, stream, words).await;
+        twin.part();
         eprintln!("rowanway: the process before has ended");
     });
+    let until = Instant::now() + NEWS_WITHIN;
+    while !node.borrow().takes_callers() && Instant::now() < until {
+        sleep(LOOK).await;
+    }
+    node.borrow().tell_twin(Word::Serving);
     Ok(())
 }
 
 /// The older process's part: hands the listening socket to whoever asks for it, one after another, and stays in touch
 /// until that one has ended.
-pub async fn offer(node: Handle, folder: Folder, listener: std::net::TcpListener) {
+pub async fn offer(node: Handle, folder: Rc<Folder>, listener: std::net::TcpListener) {
     let bind = || {
         // Bound aside and moved into place: the socket of the process before gives way without a gap.
-        let (aside, place) = (folder.file(&format!("{}.sock", std::process::id())), folder.file(NAME));
+        let (aside, place) = (folder.file(&format!("{}.sock", std::process::id())), folder.file(SOCKET));
         let _ = std::fs::remove_file(&aside);
         UnixListener::bind(&aside).and_then(|l| std::fs::rename(&aside, place).map(|()| l))
     };
@@ -179,6 +218,11 @@
             continue;
         }
         let twin = node.meet();
+        // It has read the file, but perhaps before the last word.
+        let bans: Vec<String> = node.borrow().bans().map(|e| e.0.to_string()).collect();
+        for endpoint in bans {
+            node.borrow().tell_twin(Word::Ban { endpoint, out: true });
+        }
         talk(&node, stream, twin).await;
         node.part();
         let back = {
@@ -270,9 +314,17 @@
     }
 
     fn hear(&self, word: Word) {
+        if let Word::Ban { endpoint, out } = word {
+            let endpoint = endpoint.as_str().into();
+            if self.borrow().is_banned(&endpoint) != out {
+                self.banned(endpoint, out);
+            }
+            return;
+        }
         let mut guard = self.borrow();
         let Node { pool, callers, .. } = &mut *guard;
         match word {
+            Word::Ban { .. } => {}
             Word::Holds(connections) => pool.descriptors.others_hold(Some(connections)),
             Word::Serving => {
                 callers.go_over();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -108,6 +108,8 @@
         }
         match event {
             Event::Members { news, entries, .. } => self.learn(now, news, &entries, out),
+            Event::Banned { endpoint, out: true } => self.ban(now, endpoint, out),
+            Event::Banned { endpoint, out: false } => self.unban(now, &endpoint),
             Event::Request(request) if self.is_known(&request) => self.accept(now, request, out),
             Event::Started { request, attempt } => self.end(&request, Some(attempt), out),
             Event::ClientGone { request } => self.end(&request, None, out),
@@ -144,16 +146,46 @@
         }
         if news != News::Delta {
             // Missing from a full list is gone.
-            self.endpoints.iter_mut().for_each(|e| (e.ready, e.listed) = (false, false));
+            self.endpoints.iter_mut().for_each(|e| (e.ready, e.up, e.listed) = (false, false, false));
         }
         entries.iter().for_each(|entry| self.note(entry, out));
+        self.regroup(now);
+        self.forget();
+    }
+
+    /// Takes an endpoint out by the operators' word, which holds whatever lists say until they take it back.
+    /// What is out there goes on; held calls and retries find other places.
+    fn ban(&mut self, now: Moment, endpoint: EndpointId, out: &mut Vec<Action>) {
+        if let Some(e) = self.index.get(&endpoint) {
+            self.endpoints[*e].ready = false;
+        }
+        out.push(Action::CloseIdle { endpoint: endpoint.clone() });
+        self.banned.insert(endpoint);
+        self.regroup(now);
+    }
+
+    /// One that comes back may have restarted, which the list tells of later: it counts as cold. Its first
+    /// turn is at once: a quiet copy's own sends would bring it round late, and it is looked for.
+    fn unban(&mut self, now: Moment, endpoint: &EndpointId) {
+        if !self.banned.remove(endpoint) {
+            return;
+        }
+        if let Some(e) = self.index.get(endpoint) {
+            let known = &mut self.endpoints[*e];
+            known.restart(known.up_since);
+            (known.back_since, known.awaited, known.ready) = (Some(now), true, known.up);
+        }
+        self.regroup(now);
+    }
+
+    /// Sorts the endpoints that take work into near and far, and draws the subset anew.
+    fn regroup(&mut self, now: Moment) {
         let live = (0..self.endpoints.len()).filter(|e| self.endpoints[*e].ready);
         (self.near, self.far) = live.partition(|e| self.endpoints[*e].far == 0);
         if self.near.is_empty() {
             std::mem::swap(&mut self.near, &mut self.far);
         }
         self.draw_subset(now);
-        self.forget();
     }
 
     /// Lets go of endpoints that are gone, whose places go to new ones: where they are replaced all day, they
@@ -193,9 +225,10 @@
         known.size = if entry.size > 0.0 { entry.size } else { 1.0 };
         let dear = self.set.prices.cross_zone >= DEAR_CROSSING;
         known.far = usize::from(dear && known.zone != self.set.zone);
-        known.ready = entry.readiness == Readiness::Up;
+        known.up = entry.readiness == Readiness::Up;
+        known.ready = known.up && !self.banned.contains(&entry.endpoint);
         // Gone from the list, it may finish what it drained with all the same.
-        known.draining = !known.ready && (known.draining || entry.readiness == Readiness::Draining);
+        known.draining = !known.up && (known.draining || entry.readiness == Readiness::Draining);
         if known.up_since != entry.up_since {
             known.restart(entry.up_since); // a new process has none of the old one's queue or faults
         }
@@ -214,7 +247,8 @@
     /// The part of a fair share that a cold endpoint may get till it is warm: when the limit ended early, all
     /// copies fell upon the one that was clear in a throttled tier.
     fn cold_share(&self, now: Moment, e: usize) -> Option<f64> {
-        let (age, warm) = (now.since(self.endpoints[e].up_since?), self.set.rules.warm_within);
+        let known = &self.endpoints[e];
+        let (age, warm) = (now.since(known.up_since.max(known.back_since)?), self.set.rules.warm_within);
         let part = self.set.rules.cold_from
             + (1.0 - self.set.rules.cold_from) * age.as_secs_f64() / warm.as_secs_f64();
         (age < warm).then_some(part * self.set.rules.fall_multiple * COLD_PART)
@@ -236,7 +270,9 @@
         self.subset.clone_from(&ring);
         for e in ring {
             self.endpoints[e].in_subset = true;
-            if self.endpoints[e].cold_at.is_infinite() {
+            if std::mem::take(&mut self.endpoints[e].awaited) {
+                self.endpoints[e].cold_at = self.sends;
+            } else if self.endpoints[e].cold_at.is_infinite() {
                 self.endpoints[e].cold_at = self.next_cold_turn(now, e);
             }
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -3,7 +3,7 @@
 use crate::api::*;
 use rand_core::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 #[derive(Clone, Copy)]
@@ -18,11 +18,18 @@
     pub zone: ZoneId,
     pub cell: CellId,
     pub size: f64,
+    /// It takes work, by the list and by the operators.
     pub ready: bool,
+    /// By the list alone.
+    pub up: bool,
     pub draining: bool,
     /// The list still names it.
     pub listed: bool,
     pub up_since: Option<Moment>,
+    /// When the operators last had it used again: it may have restarted meanwhile, and the list tells of that late.
+    pub back_since: Option<Moment>,
+    /// It is awaited back, and gets its first turn as soon as it is.
+    pub awaited: bool,
     pub in_subset: bool,
     pub far: usize,
     pub in_flight: u32,
@@ -108,7 +115,7 @@
     pub discarding: usize,
     /// Endpoints whose state was told and has not lapsed.
     pub informed: usize,
-    /// Listed endpoints that get nothing now: they drain, or every worth level is discarded there.
+    /// Listed endpoints that get nothing now: they drain, are taken out, or discard every worth level.
     pub avoided: usize,
 }
 
@@ -120,6 +127,8 @@
     pub(crate) index: HashMap<EndpointId, usize>,
     /// Places of endpoints that are forgotten, to be given again.
     pub(crate) free: Vec<usize>,
+    /// Endpoints that the operators have taken out; some may not be listed now.
+    pub(crate) banned: HashSet<EndpointId>,
     pub(crate) near: Vec<usize>,
     pub(crate) far: Vec<usize>,
     pub(crate) subset: Vec<usize>,
@@ -154,6 +163,7 @@
             endpoints: Vec::new(),
             index: HashMap::new(),
             free: Vec::new(),
+            banned: HashSet::new(),
             near: Vec::new(),
             far: Vec::new(),
             subset: Vec::new(),
@@ -221,6 +231,24 @@
     }
 }
 
+impl Balancer {
+    /// Whether the operators have taken an endpoint out.
+    pub fn is_banned(&self, endpoint: &EndpointId) -> bool {
+        self.banned.contains(endpoint)
+    }
+
+    /// Whether an endpoint is listed, or taken out while it was.
+    pub fn knows(&self, endpoint: &EndpointId) -> bool {
+        let listed = self.index.get(endpoint).is_some_and(|e| self.endpoints[*e].listed);
+        listed || self.is_banned(endpoint)
+    }
+
+    /// The endpoints that the operators have taken out.
+    pub fn banned(&self) -> impl Iterator<Item = &EndpointId> {
+        self.banned.iter()
+    }
+}
+
 impl Endpoint {
     /// An endpoint just heard of: clear, healthy, not yet usable.
     pub fn new(entry: &Listing, classes: usize) -> Self {
@@ -230,9 +258,12 @@
             cell: entry.cell,
             size: 1.0,
             ready: false,
+            up: false,
             draining: false,
             listed: false,
             up_since: entry.up_since,
+            back_since: None,
+            awaited: false,
             in_subset: false,
             far: 0,
             in_flight: 0,
--- /dev/null
+++ b/tests/sidecar/bans.rs
@@ -0,0 +1,104 @@
+//! Endpoints that the operators take out and back in.
+
+use crate::stubs::*;
+use serde_json::json;
+use std::path::Path;
+
+/// How many of so many requests an endpoint saw.
+fn saw(sidecar: &Sidecar, endpoint: &Endpoint, requests: usize) -> usize {
+    let mut client = sidecar.client();
+    endpoint.requests();
+    for _ in 0..requests {
+        let answer = client.ask(&get("5"));
+        assert_eq!(answer.status(), 200);
+        if answer.header("connection") == Some("close") {
+            client = sidecar.client();
+        }
+    }
+    endpoint.requests()
+}
+
+/// Guards the call out and back: from the yes on nothing comes, whatever the list says; twice out is as once; the idle
+/// connections go; the figures tell of it.
+#[test]
+fn an_endpoint_is_taken_out_and_back() {
+    let endpoints = [0, 1].map(|_| Endpoint::start(|_| ok("")));
+    let (sidecar, discovery) = Sidecar::with_admin(&[&endpoints[0], &endpoints[1]]);
+    let mut watch = discovery.next_watch();
+    assert!(saw(&sidecar, &endpoints[0], 30) > 0);
+    assert!(sidecar.says_yes("DISABLE e0"));
+    endpoints[0].next_close();
+    assert_eq!(saw(&sidecar, &endpoints[0], 30), 0);
+    assert_eq!(["members", "members_unavailable"].map(|f| sidecar.figure(f)), [Some(2), Some(1)]);
+    watch.write_line(&list(42, true, &serving(&[&endpoints[0], &endpoints[1]])));
+    drop(watch);
+    assert!(discovery.next_watch().asked.contains("since=42 "), "the list is known");
+    assert_eq!(saw(&sidecar, &endpoints[0], 30), 0);
+    assert!(sidecar.says_yes("DISABLE e0"));
+    assert!(sidecar.says_yes("ENABLE e0"));
+    assert!(saw(&sidecar, &endpoints[0], 60) > 0);
+    assert_eq!(sidecar.figure("members_unavailable"), Some(0));
+    for call in ["DISABLE e9", "ENABLE e9", "DISABLE e0 e1", "DISABLE", "ENABLE  "] {
+        assert!(!sidecar.says_yes(call), "{call}");
+    }
+    assert!(saw(&sidecar, &endpoints[0], 60) > 0, "none of these did anything");
+}
+
+/// Guards readiness: with all taken out there is nowhere to send.
+#[test]
+fn with_all_taken_out_it_is_not_ready() {
+    let endpoint = Endpoint::start(|_| ok(""));
+    let (sidecar, _discovery) = Sidecar::with_admin(&[&endpoint]);
+    assert!(sidecar.says_yes("DISABLE e0") && !sidecar.says_yes("READY"));
+    assert!(sidecar.says_yes("ENABLE e0") && sidecar.says_yes("READY"));
+    assert_eq!(sidecar.client().ask(&get("5")).status(), 200);
+}
+
+fn start(folder: &Path, discovery: &Discovery, endpoints: &[&Endpoint], at: Option<&Sidecar>) -> Sidecar {
+    let mut config = with_admin(config(discovery.address, &serving(endpoints)));
+    config["listen"] = json!(at.map_or("127.0.0.1:0".into(), |s| s.address.to_string()));
+    Sidecar::start_in(folder, &config)
+}
+
+/// Guards the word over an upgrade: the next process has it from the start, both follow what either is told while there
+/// are two, and the last one goes on with it.
+#[test]
+fn what_is_taken_out_stays_out_over_an_upgrade() {
+    let (folder, discovery) = (folder(), Discovery::start());
+    let endpoints = [0, 1, 2].map(|_| Endpoint::start(|_| ok("")));
+    let all = [&endpoints[0], &endpoints[1], &endpoints[2]];
+    let mut before = start(&folder, &discovery, &all, None);
+    assert!(before.says_yes("DISABLE e0"));
+    let next = start(&folder, &discovery, &all, Some(&before));
+    awaits("it is ready", || next.says_yes("READY"));
+    assert_eq!(next.figure("members_unavailable"), Some(1), "from the start");
+    assert!(before.says_yes("DISABLE e1"));
+    awaits("the newer one follows", || next.figure("members_unavailable") == Some(2));
+    assert!(next.says_yes("ENABLE e0"));
+    awaits("the older one follows", || before.figure("members_unavailable") == Some(1));
+    before.terminate();
+    assert!(before.wait().success());
+    assert_eq!(saw(&next, &endpoints[1], 30), 0);
+    drop(next);
+    let last = start(&folder, &discovery, &all, None);
+    assert_eq!(last.figure("members_unavailable"), Some(1));
+    assert_eq!(saw(&last, &endpoints[1], 30), 0);
+    assert!(last.says_yes("ENABLE e1"));
+    std::fs::remove_dir_all(folder).expect("it goes");
+}
+
+/// Guards the start against a file that something has spoilt: it is one line of the log, and ignored.
+#[test]
+fn a_spoilt_file_of_what_is_taken_out_is_ignored() {
+    let (folder, discovery) = (folder(), Discovery::start());
+    let endpoint = Endpoint::start(|_| ok(""));
+    for text in [&b""[..], b"[\"e0", b"{\"e0\":true}", b"\xff\xfe", &vec![b'['; 3 << 20]] {
+        std::fs::write(folder.join("rowanway.bans"), text).expect("a file");
+        let sidecar = start(&folder, &discovery, &[&endpoint], None);
+        assert!(sidecar.says_yes("READY"));
+        assert!(sidecar.says_yes("DISABLE e0") && sidecar.says_yes("ENABLE e0"));
+        let kept = std::fs::read_to_string(folder.join("rowanway.bans")).expect("it is written anew");
+        assert_eq!(kept, "[]");
+    }
+    std::fs::remove_dir_all(folder).expect("it goes");
+}
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -1,6 +1,7 @@
 //! The built program over loopback sockets. Each test says what of the code it guards.
 
 mod admin;
+mod bans;
 mod callers;
 mod churn;
 mod reload;
