Empty the sidecar of callers at DRAIN and take it back at UNDRAIN

Design: steps of one task, ended by UNDRAIN. At once /ready and READY say no; for 0.6 s callers are served as ever, as the front asks ten times a second and sends some for 0.2 s after a no; for 1 s each connection closes with its next answer, so that its caller comes again elsewhere and nothing crosses the close; then what is left idle closes and whatever still comes is served once a connection. Rejected: closing idle connections with the call. A close that crosses a request has the client send it once more, and all callers at once would fall upon the other sidecar with new connections.

--- a/src/bin/rowanway/admin.rs
+++ b/src/bin/rowanway/admin.rs
@@ -106,10 +106,14 @@
         match words[..] {
             ["READY"] => yes_if(self.borrow().takes_callers(), "not ready to serve"),
             ["STATS"] => self.stats(),
+            ["DRAIN" | "UNDRAIN"] => {
+                self.drain(words[0] == "DRAIN");
+                yes_if(true, "")
+            }
             ["DISABLE", endpoint] => yes_if(self.ban(endpoint.into(), true), "no such endpoint is listed"),
             ["ENABLE", endpoint] => yes_if(self.ban(endpoint.into(), false), "no such endpoint is listed"),
             ["DISABLE" | "ENABLE", ..] => "NO this call takes one endpoint's id\n".into(),
-            ["READY" | "STATS", ..] => "NO this call stands alone\n".into(),
+            ["READY" | "STATS" | "DRAIN" | "UNDRAIN", ..] => "NO this call stands alone\n".into(),
             _ => "NO unknown call\n".into(),
         }
     }
--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -9,7 +9,7 @@
 use crate::descriptors::{Bodies, Descriptors};
 use crate::discovery::{self, EndpointList, Source};
 use crate::endpoints::{self, Answered, Ending, Forward, Link, Order, Place, Pool};
-use crate::server::Callers;
+use crate::server::{self, Callers};
 use crate::upgrade::{self, Folder, Twin, Word};
 use passproxy::api::*;
 use passproxy::choice::{Balancer, Census};
@@ -138,6 +138,8 @@
     pub folder: Option<Rc<Folder>>,
     fixed: Fixed,
     telling: Option<Task>,
+    /// The steps of a drain.
+    draining: Option<Task>,
     events: VecDeque<Event>,
     actions: Vec<Action>,
 }
@@ -177,6 +179,7 @@
             folder,
             fixed: config.fixed,
             telling: None,
+            draining: None,
             events: VecDeque::new(),
             actions: Vec::new(),
         })));
@@ -355,6 +358,24 @@
         true
     }
 
+    /// Has the sidecar emptied of callers, or has them back. Said twice, either is as said once.
+    pub fn drain(&self, out: bool) {
+        let draining = self.borrow().callers.are_drained();
+        if out != draining {
+            eprintln!("rowanway: {}", if out { "drains by hand" } else { "is back from its drain" });
+        }
+        if out && !draining {
+            let steps = Task::spawn(server::drain(self.clone()));
+            let mut node = self.borrow();
+            node.callers.begin_drain();
+            node.draining = Some(steps);
+        } else if !out {
+            let mut node = self.borrow();
+            node.draining = None;
+            node.callers.end_drain();
+        }
+    }
+
     /// An endpoint is taken out or back in, here or by the other process.
     pub fn banned(&self, endpoint: EndpointId, out: bool) {
         eprintln!("rowanway: endpoint {} is {} by hand", endpoint.0, if out { "taken out" } else { "back" });
@@ -495,6 +516,7 @@
         self.members.iter().any(|(e, m)| m.ready && !self.is_banned(e))
             && self.last_answer.is_none()
             && !listens
+            && !self.callers.are_drained()
     }
 
     /// How many endpoints are listed, and how many of them are avoided now.
--- a/src/bin/rowanway/server.rs
+++ b/src/bin/rowanway/server.rs
@@ -37,6 +37,11 @@
 /// A connection may stand so long between requests before it is closed, and so long before it makes room for others.
 const IDLE_TIME: Duration = Duration::from_secs(15);
 const SPARED_IDLE: Duration = Duration::from_secs(2);
+/// The front asks ten times a second whether to send callers here, and sends some for 0.2 s after a no.
+const STILL_SENT: Duration = Duration::from_millis(600);
+/// Then callers have so long to come back once more, and be told that their connection closes. 4 s after a drain began
+/// none may be kept, and none have a request of the 2 s before that.
+const LEAVING: Duration = Duration::from_millis(1_000);
 /// A connection that ended with an early answer is read on for so long: closed with bytes unread, it would be reset, and
 /// the answer lost with it.
 const LINGER: Duration = Duration::from_secs(1);
@@ -57,6 +62,19 @@
     gone: Rc<Notify>,
     /// Another process lets callers in: each connection here closes with its next answer.
     gone_over: watch::Sender<bool>,
+    /// The operators have the sidecar emptied, and how far that is.
+    drain: Option<Drain>,
+}
+
+/// How far a drain is. From its start on the front is told not to send anyone here.
+#[derive(Clone, Copy, PartialEq)]
+enum Drain {
+    /// The front has to ask first, and callers still come: all as ever.
+    Begun,
+    /// Each connection closes with its next answer.
+    Leaving,
+    /// None is kept.
+    Empty,
 }
 
 struct Caller {
@@ -95,6 +113,20 @@
         self.connections.values().for_each(|c| c.close.notify_one());
     }
 
+    /// The front is to send nobody here; the steps that follow are [`drain`]'s.
+    pub fn begin_drain(&mut self) {
+        self.drain = Some(Drain::Begun);
+    }
+
+    /// All is as before the drain.
+    pub fn end_drain(&mut self) {
+        self.drain = None;
+    }
+
+    pub fn are_drained(&self) -> bool {
+        self.drain.is_some()
+    }
+
     /// From now on another process lets callers in.
     pub fn go_over(&mut self) {
         self.gone_over.send_replace(true);
@@ -107,7 +139,7 @@
 
     /// Whether a connection closes with its answer, so that its caller comes again elsewhere.
     fn are_sent_away(&self) -> bool {
-        *self.gone_over.borrow()
+        *self.gone_over.borrow() || matches!(self.drain, Some(Drain::Leaving | Drain::Empty))
     }
 
     pub fn are_gone(&self) -> bool {
@@ -120,6 +152,17 @@
     }
 }
 
+/// Empties the sidecar of callers, in steps, for as long as it is polled: those that the front still sends are served
+/// as ever, then each connection closes with its next answer, and at last those that nobody uses.
+pub async fn drain(node: Handle) {
+    sleep(STILL_SENT).await;
+    node.borrow().callers.drain = Some(Drain::Leaving);
+    sleep(LEAVING).await;
+    let callers = &mut node.borrow().callers;
+    callers.drain = Some(Drain::Empty);
+    callers.connections.values().for_each(|c| c.close.notify_one());
+}
+
 /// Accepts connections for as long as it is polled, unless another process does. Never waits for anything else: what
 /// stands in the kernel's backlog counts as taken. Others get their turn after each, above all those that were asked to
 /// make room.
@@ -162,7 +205,7 @@
     callers.connections.insert(number, caller);
     callers.next += 1;
     let turned_away = spent && !made_room;
-    let once = callers.stopping || turned_away;
+    let once = callers.stopping || turned_away || callers.drain == Some(Drain::Empty);
     drop(guard);
     let connection = Connection { node: node.clone(), number, traffic, turned_away, _permit: permit };
     spawn_local(connection.serve(stream, close, once));
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -4,6 +4,7 @@
 mod bans;
 mod callers;
 mod churn;
+mod drains;
 mod reload;
 mod spoilt;
 mod stubs;
