Pass bodies over 64 KiB on as they come, both ways

Design: up to 64 KiB is read whole as before, so that an attempt can be repeated and a broken answer is found out before its caller sees it. What is larger (up to 40 MiB) is a body that reads on only when the other side has taken what came before: bodies.rs holds the pieces, hyper the framing. The caller's pace is bounded (2.6 s and a second more per 32 kB, only waiting for the caller counts); a request's time runs from its last byte, an attempt's from the last byte written. Once anything has gone on that is not kept the module is told (Spent) and makes no further attempt. A large answer counts when its last byte has gone on. Rejected: keeping whole bodies while memory lasts, and refusing the rest: a handful of 32 MB bodies is the limit, and the first byte of an answer, which is what is timed, would wait for the last.

--- a/src/api.rs
+++ b/src/api.rs
@@ -626,6 +626,11 @@
     },
     /// An attempt is over.
     Outcome(Ended),
+    /// Part of the request has gone on that is kept nowhere: no further attempt can be made.
+    Spent {
+        /// Which request.
+        request: RequestId,
+    },
     /// The client has left; nothing is owed.
     ClientGone {
         /// Which request.
--- a/src/bin/rowanway/descriptors.rs
+++ b/src/bin/rowanway/descriptors.rs
@@ -86,7 +86,7 @@
     }
 }
 
-/// Memory for the bodies of requests that are being read or are open.
+/// Memory for bodies, of requests that are being read or are open, or of answers that are being read.
 #[derive(Clone)]
 pub struct Bodies {
     most: usize,
@@ -97,9 +97,9 @@
 pub struct Room(usize, Rc<Cell<usize>>);
 
 impl Bodies {
-    /// For a process with so much memory: a quarter of it.
-    pub fn new(memory_mb: usize) -> Self {
-        Bodies { most: (memory_mb << 20) / 4, held: Rc::default() }
+    /// One of so many parts of the process's memory.
+    pub fn part_of(memory_mb: usize, parts: usize) -> Self {
+        Bodies { most: (memory_mb << 20) / parts, held: Rc::default() }
     }
 
     pub fn take(&self, size: usize) -> Option<Room> {
--- a/src/bin/rowanway/inbound.rs
+++ b/src/bin/rowanway/inbound.rs
@@ -47,6 +47,8 @@
     pub last: Cell<bool>,
     /// The other side has sent its end.
     pub ended: Cell<bool>,
+    /// Since when nothing could be written to it, as the other side reads nothing.
+    pub unread_since: Cell<Option<Instant>>,
     /// It was closed for standing idle, or to make room: there is nothing to be read on it.
     pub closed_idle: Cell<bool>,
 }
@@ -62,14 +64,24 @@
             fault: Cell::new(None),
             last: Cell::new(false),
             ended: Cell::new(false),
+            unread_since: Cell::new(None),
             closed_idle: Cell::new(false),
         })
     }
 }
 
 impl Traffic {
-    /// When patience with it ends, as things stand; never while a request is open, which has its own time.
-    pub fn due(&self, head: Duration, idle: Duration) -> Option<Instant> {
+    fn wrote(&self, some: bool) {
+        let since = if some { None } else { Some(self.unread_since.get().unwrap_or_else(Instant::now)) };
+        self.unread_since.set(since);
+    }
+
+    /// When patience with it ends, as things stand; never while a request is open, which has its own time, but where
+    /// its answer is not read.
+    pub fn due(&self, head: Duration, idle: Duration, unread: Duration) -> Option<Instant> {
+        if let Some(since) = self.unread_since.get() {
+            return Some(since + unread);
+        }
         let idle_since = self.idle_since.get().filter(|_| !self.closed_idle.get())?;
         match self.head_since.get() {
             Some(_) if self.fault.get().is_some() => None,
@@ -268,7 +280,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.traffic.wrote(written.is_ready());
+        written
     }
 
     fn poll_write_vectored(
@@ -276,7 +290,9 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, parts)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
+        self.traffic.wrote(written.is_ready());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/src/bin/rowanway/main.rs
+++ b/src/bin/rowanway/main.rs
@@ -1,6 +1,7 @@
 //! The sidecar: one program that balances its callers' requests over endpoints, as the decision module says.
 
 mod admin;
+mod bodies;
 mod config;
 mod counters;
 mod descriptors;
--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -44,6 +44,11 @@
         self.started_at + self.started.elapsed()
     }
 
+    /// A moment that has passed, by the runtime's clock.
+    fn moment(&self, instant: Instant) -> Moment {
+        self.started_at + instant.saturating_duration_since(self.started)
+    }
+
     /// When the runtime's timers reach a moment.
     pub fn instant(&self, moment: Moment) -> Instant {
         Instant::now() + moment.since(self.now()).min(FAR_OFF)
@@ -115,7 +120,9 @@
     pub settings: Rc<Settings>,
     pub callers: Callers,
     pub pool: Pool,
+    /// Room for callers' bodies, and for endpoints' answers.
     pub bodies: Bodies,
+    pub answers: Bodies,
     pub counters: Counters,
     pub figures: Figures,
     balancer: Balancer,
@@ -163,7 +170,8 @@
             callers: Callers::default(),
             counters: Counters::default(),
             figures: Figures::default(),
-            bodies: Bodies::new(config.memory_mb),
+            bodies: Bodies::part_of(config.memory_mb, 4),
+            answers: Bodies::part_of(config.memory_mb, 8),
             pool: Pool::new(descriptors, &config.settings.limits),
             settings: Rc::new(config.settings),
             members: HashMap::new(),
@@ -320,12 +328,20 @@
             return; // abandoned, and the module knows
         }
         let sent = attempt.sent;
+        // It ran from when the endpoint had all of it.
+        let whole = order.forward.upload.as_ref().and_then(|u| u.whole_at());
+        let since = whole.map(|at| node.clock.moment(at));
+        let Some(open) = node.open.get_mut(&order.request) else { return };
+        let sent = since.map_or(sent, |at| at.max(sent));
         open.timed_out = ending.outcome == Outcome::TimedOut;
         if let Some(answered) = ending.answered {
             node.answer(&order.request, Answer::Served(answered));
         }
         let event = node.outcome(&order.request, order.attempt, sent, ending.outcome, ending.report);
         drop(node);
+        if order.forward.is_spent() {
+            self.tell(Event::Spent { request: order.request.clone() });
+        }
         self.tell(event);
         self.borrow().forget_if_over(&order.request);
     }
--- a/src/bin/rowanway/server.rs
+++ b/src/bin/rowanway/server.rs
@@ -1,13 +1,14 @@
 //! Callers: their connections, what they ask, and the one answer that each request gets.
 
+use crate::bodies::{self, Passing, Spoilt};
 use crate::counters::Ticket;
 use crate::descriptors::{Permit, Side};
-use crate::endpoints::{DEADLINE, Forward, LARGEST_BODY, end_to_end};
+use crate::endpoints::{DEADLINE, Forward, end_to_end};
 use crate::inbound::{Fault, Inbound, Traffic};
 use crate::node::{Answer, FAR_OFF, Handle, Node, NotTaken};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::http::uri::PathAndQuery;
 use hyper::server::conn::http1;
@@ -17,10 +18,11 @@
 use passproxy::api::{self, ClassId, Effect, Key, Moment, RequestId, Settings, TenantId};
 use std::collections::HashMap;
 use std::convert::Infallible;
+use std::error::Error;
 use std::future::poll_fn;
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -32,11 +34,12 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(5);
 /// From a connection's start to its first head, and from a head's first byte to its last.
 const HEAD_TIME: Duration = Duration::from_millis(2_100);
-/// From a head's first byte to the body's last.
-const REQUEST_TIME: Duration = Duration::from_millis(2_600);
 /// A connection may stand so long between requests before it is closed, and so long before it makes room for others.
 const IDLE_TIME: Duration = Duration::from_secs(15);
 const SPARED_IDLE: Duration = Duration::from_secs(2);
+/// A caller may leave what has been written to it unread for so long. What the kernel holds of it takes a slow one
+/// many seconds, in which no more can be written.
+const UNREAD_TIME: Duration = Duration::from_secs(60);
 /// The front asks ten times a second whether to send callers here, and sends some for 0.2 s after a no.
 const STILL_SENT: Duration = Duration::from_millis(600);
 /// Then callers have so long to come back once more, and be told that their connection closes. 4 s after a drain began
@@ -50,7 +53,42 @@
 /// The longest id or key, in bytes.
 const LONGEST_ID: usize = 256;
 
-type Reply = Response<Full<Bytes>>;
+type Reply = Response<ReplyBody>;
+
+/// The body of what a caller is answered.
+enum ReplyBody {
+    Whole(Full<Bytes>),
+    Passing(Box<Passing>),
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = Box<dyn Error + Send + Sync>;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        match self.get_mut() {
+            ReplyBody::Whole(body) => Pin::new(body).poll_frame(context).map_err(|never| match never {}),
+            ReplyBody::Passing(body) => Pin::new(&mut **body).poll_frame(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            ReplyBody::Whole(body) => body.is_end_stream(),
+            ReplyBody::Passing(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            ReplyBody::Whole(body) => body.size_hint(),
+            ReplyBody::Passing(body) => body.size_hint(),
+        }
+    }
+}
 
 /// The callers' connections.
 #[derive(Default)]
@@ -231,7 +269,9 @@
             if traffic.last.get() || self.node.borrow().callers.are_sent_away() {
                 reply.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             }
-            traffic.idle_since.set(Some(Instant::now()));
+            if let ReplyBody::Whole(_) = reply.body() {
+                traffic.idle_since.set(Some(Instant::now()));
+            }
             Ok::<Reply, Infallible>(reply)
         });
         let mut inbound = Inbound::new(stream, self.traffic.clone());
@@ -253,12 +293,13 @@
                         Some(_) => traffic.last.set(true),
                     },
                     () = poll_fn(|context| {
-                        let Some(due) = traffic.due(HEAD_TIME, IDLE_TIME) else { return Poll::Pending };
+                        let Some(due) = traffic.due(HEAD_TIME, IDLE_TIME, UNREAD_TIME) else { return Poll::Pending };
                         if time.deadline() != due {
                             time.as_mut().reset(due);
                         }
                         time.as_mut().poll(context)
                     }) => match traffic.head_since.get() {
+                        _ if traffic.unread_since.get().is_some() => break,
                         Some(_) => traffic.fault.set(Some(Fault::TooSlow)),
                         None => {
                             traffic.closed_idle.set(true);
@@ -281,11 +322,11 @@
             return Wrong::from(fault).reply();
         }
         match (request.uri().path(), request.method()) {
-            ("/ready", &Method::GET) => {
+            ("/ready", &Method::GET | &Method::HEAD) => {
                 let ready = self.node.borrow().takes_callers();
                 plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, "")
             }
-            ("/ready", _) => Wrong::method("GET").reply(),
+            ("/ready", _) => Wrong::method("GET, HEAD").reply(),
             ("/api", &Method::GET | &Method::POST) if self.turned_away => {
                 let class = request.headers().get("x-class").and_then(|v| v.to_str().ok());
                 let reply = self.turn_away();
@@ -315,9 +356,18 @@
     /// A request for an endpoint.
     async fn call(&self, request: Request<Incoming>, begun: Instant) -> Result<Reply, Wrong> {
         let mut ticket = None;
-        let answer = self.forward(request, begun, &mut ticket).await;
-        let status = answer.as_ref().map_or_else(|wrong| wrong.status, Response::status);
-        ticket.into_iter().for_each(|t| t.end(status));
+        let mut answer = self.forward(request, begun, &mut ticket).await;
+        let passing = answer.as_mut().ok().and_then(|a| match a.body_mut() {
+            ReplyBody::Passing(passing) => Some(passing),
+            ReplyBody::Whole(_) => None,
+        });
+        match (ticket, passing) {
+            (Some(ticket), Some(passing)) => passing.counts(ticket, &self.traffic),
+            (Some(ticket), None) => {
+                ticket.end(answer.as_ref().map_or_else(|wrong| wrong.status, Response::status));
+            }
+            (None, _) => {}
+        }
         answer
     }
 
@@ -334,40 +384,36 @@
         let asked = clock.now();
         let (head, body) = request.into_parts();
         let early = !body.is_end_stream();
+        let chunked = self.traffic.last.get();
         let mut request =
             asks(&head.method, &head.headers, &settings, asked).map_err(|w| Wrong { early, ..w })?;
         let ticket = {
             let mut node = self.node.borrow();
             ticket.insert(node.figures.begin(&settings.classes[request.class.0].name))
         };
-        let last_answer = self.node.borrow().last_answer;
-        request.deadline = last_answer.map_or(request.deadline, |last| request.deadline.min(last));
-        if body.size_hint().lower() > LARGEST_BODY as u64 {
-            return Err(Wrong::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
-        }
-        let deadline = clock.instant(request.deadline);
-        // As much as it declares, or as much as may come.
-        let most = body.size_hint().exact().map_or(LARGEST_BODY, |n| n as usize);
+        // As much as it declares, or as much as may be kept.
+        let most = body.size_hint().exact().map_or(bodies::KEPT, |n| n.min(bodies::KEPT as u64) as usize);
         let Some(room) = rooms.take(most) else {
             self.traffic.last.set(true);
             return Ok(self.turn_away());
         };
-        let body_until = deadline.min(begun + REQUEST_TIME);
-        let body = match timeout_at(body_until, Limited::new(body, LARGEST_BODY).collect()).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(failure)) if failure.is::<LengthLimitError>() => {
-                return Err(Wrong::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB"));
-            }
-            Ok(Err(_)) => return Err(Wrong::new(StatusCode::BAD_REQUEST, "the body is not whole")),
-            Err(_) => return Err(Wrong::new(StatusCode::REQUEST_TIMEOUT, "the body did not come in time")),
-        };
-        ticket.is_whole();
+        let time_left = request.deadline.since(asked);
+        let bodies::Read { kept, upload } = bodies::read(body, begun).await.map_err(Wrong::from)?;
+        if upload.is_none() {
+            ticket.is_whole();
+        }
+        // The time of a request counts from its last byte.
+        let last_answer = self.node.borrow().last_answer;
+        request.deadline = clock.now() + time_left;
+        request.deadline = last_answer.map_or(request.deadline, |last| request.deadline.min(last));
+        let deadline = clock.instant(request.deadline);
         let path = head.uri.into_parts().path_and_query;
         let forward = Forward {
             method: head.method,
             path: path.unwrap_or_else(|| PathAndQuery::from_static("/api")),
             headers: end_to_end(&head.headers),
-            body,
+            body: kept,
+            upload: upload.clone(),
             repeatable: settings.classes[request.class.0].effect != Effect::Unsafe,
             _room: room,
         };
@@ -382,11 +428,33 @@
             }
         };
         let mut owed = Owed { node: &self.node, id: Some(id) };
-        let answer = timeout_at(deadline + slack, answer).await;
+        let answer = match upload {
+            None => timeout_at(deadline + slack, answer).await.ok(),
+            Some(upload) => {
+                // Answered before it has come whole, the connection ends with the answer.
+                self.traffic.last.set(true);
+                let answer = pin!(upload.within(time_left + slack, answer));
+                let ended = async {
+                    if let Err(spoilt) = upload.end().await {
+                        return spoilt;
+                    }
+                    self.traffic.last.set(chunked);
+                    ticket.is_whole();
+                    std::future::pending().await
+                };
+                let answer = tokio::select! {
+                    biased;
+                    spoilt = ended => return Err(spoilt.into()),
+                    answer = answer => answer,
+                };
+                ticket.is_whole();
+                answer
+            }
+        };
         let id = owed.id.take();
         Ok(match answer {
-            Ok(Ok(answer)) => reply(answer),
-            Ok(Err(_)) | Err(_) => {
+            Some(Ok(answer)) => reply(answer),
+            Some(Err(_)) | None => {
                 id.iter().for_each(|id| self.node.overdue(id));
                 plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
             }
@@ -439,6 +507,16 @@
     }
 }
 
+impl From<Spoilt> for Wrong {
+    fn from(spoilt: Spoilt) -> Self {
+        match spoilt {
+            Spoilt::TooLarge => Wrong::new(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 40 MiB"),
+            Spoilt::NotWhole => Wrong::new(StatusCode::BAD_REQUEST, "the body is not whole"),
+            Spoilt::TooSlow => Wrong::new(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+        }
+    }
+}
+
 impl Wrong {
     fn new(status: StatusCode, text: &'static str) -> Self {
         Wrong { status, text, allowed: None, early: true }
@@ -525,7 +603,10 @@
 fn reply(answer: Answer) -> Reply {
     match answer {
         Answer::Served(answered) => {
-            let mut reply = Response::new(Full::new(answered.body));
+            let mut reply = Response::new(match answered.body {
+                bodies::Answered::Whole(body) => ReplyBody::Whole(Full::new(body)),
+                bodies::Answered::Passing(body) => ReplyBody::Passing(body),
+            });
             *reply.headers_mut() = answered.headers;
             reply
         }
@@ -548,7 +629,7 @@
 }
 
 fn plain(status: StatusCode, text: &'static str) -> Reply {
-    let mut reply = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
+    let mut reply = Response::new(ReplyBody::Whole(Full::new(Bytes::from_static(text.as_bytes()))));
     *reply.status_mut() = status;
     reply
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -112,6 +112,9 @@
             Event::Banned { endpoint, out: false } => self.unban(now, &endpoint),
             Event::Request(request) if self.is_known(&request) => self.accept(now, request, out),
             Event::Started { request, attempt } => self.end(&request, Some(attempt), out),
+            Event::Spent { request } => {
+                self.requests.get_mut(&request).into_iter().for_each(|p| p.spent = true);
+            }
             Event::ClientGone { request } => self.end(&request, None, out),
             Event::Outcome(ended) => self.conclude(now, &ended, out),
             // By its name, not by the time: a host's timer that came a hair early left all later ones unset.
@@ -643,7 +646,7 @@
 
     /// Whether a request may have another attempt, and where.
     fn may_send(&self, now: Moment, pending: &Pending) -> Option<Scope> {
-        if pending.answered || pending.attempts.len() >= self.set.limits.max_attempts {
+        if pending.answered || pending.spent || pending.attempts.len() >= self.set.limits.max_attempts {
             return None;
         }
         let mut suspects = pending.attempts.iter().filter(|a| a.fate != Fate::Unrun);
--- a/src/state.rs
+++ b/src/state.rs
@@ -67,6 +67,8 @@
     pub hold_until: Moment,
     pub attempts: Vec<Attempt>,
     pub answered: bool,
+    /// What an attempt needs is no longer all there.
+    pub spent: bool,
 }
 
 /// Who waits to be sent for one key, in order of arrival; the first has the turn.
@@ -345,7 +347,15 @@
 
 impl Pending {
     pub fn new(request: Request, level: usize, useful_until: Moment, hold_until: Moment) -> Self {
-        Pending { request, level, useful_until, hold_until, attempts: Vec::new(), answered: false }
+        Pending {
+            request,
+            level,
+            useful_until,
+            hold_until,
+            attempts: Vec::new(),
+            answered: false,
+            spent: false,
+        }
     }
 }
 
