Take new settings over at SIGHUP, the whole file or nothing of it

Design: the file is read, checked and compared with the one in force (no setting or limit may be lost) before anything changes; then module, pools and discovery swap in one turn of the node. The module keeps a table of classes: one that is unchanged keeps its id, any other gets a place of its own, so that requests under way keep theirs; places are given again a minute after nobody has them. Worth levels and thresholds are drawn anew, what is held is sorted into them, what is known of endpoints and answer times stays. For 1 s a request that only the settings before know is still let in. Rejected: a new module beside the old one, which ends with its last request. Two would send to the same endpoints without knowing of each other, and the new one would be blind and hold its cold and throttled ones for new.

--- a/src/api.rs
+++ b/src/api.rs
@@ -107,7 +107,7 @@
 }
 
 /// A kind of request.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// Its name on the host's side.
     pub name: String,
@@ -391,7 +391,7 @@
     /// Whether an instance can work with these.
     ///
     /// # Errors
-    /// Names the first setting that makes no sense: no instance or class, an attempt limit of zero, a share, price,
+    /// Names the first setting that makes no sense: no instance or class, two classes of one name, an attempt limit of zero, a share, price,
     /// worth or fraction outside its range or not a number, a time of more than a year, or none where one is needed.
     pub fn check(&self) -> Result<(), SettingsError> {
         let refuse = |field: String, problem| Err(SettingsError { field, problem });
@@ -401,6 +401,10 @@
         if self.classes.is_empty() {
             return refuse("classes".into(), "is empty");
         }
+        let names: Vec<&str> = self.classes.iter().map(|c| c.name.as_str()).collect();
+        if let Some(i) = (1..names.len()).find(|i| names[..*i].contains(&names[*i])) {
+            return refuse(format!("classes[{i}].name"), "is there twice");
+        }
         if self.limits.max_attempts == 0 {
             return refuse("limits.max_attempts".into(), "is zero");
         }
--- a/src/bin/rowanway/config.rs
+++ b/src/bin/rowanway/config.rs
@@ -24,12 +24,17 @@
     pub settings: Settings,
     /// What holds for as long as the process runs.
     pub fixed: Fixed,
+    /// Settings and limits as the file has them.
+    pub document: Value,
 }
 
-/// What a reload cannot take over, by name: the module, the sockets and the budgets were made with it. The seed
-/// is none of it: it is new with each start, and only then of use.
+/// Settings that may be absent, where others may not once they have been there.
+const MAY_BE_ABSENT: [&str; 5] = ["aimStretch", "passesDeadline", "warmKeys", "drainCloseNs", "orderPauseNs"];
+
+/// What a reload cannot take over, by name: the sockets and the budgets were made with it. The seed is none of it: it is
+/// new with each start, and only then of use.
 #[derive(PartialEq)]
-pub struct Fixed([(&'static str, Value); 5]);
+pub struct Fixed([(&'static str, Value); 4]);
 
 impl Fixed {
     /// The names of what differs.
@@ -55,6 +60,35 @@
 struct Limits {
     sockets: usize,
     memory_mb: usize,
+    /// Read for its absence to be seen.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    cores: Option<f64>,
+}
+
+/// The first key that one document has and the next lacks, as a path. Many have a value that stands in for them at the
+/// start, but a file that has lost one is broken. Of lists, each element has to have what all had.
+fn lost(before: &Value, after: &Value) -> Option<String> {
+    match (before, after) {
+        (Value::Object(before), Value::Object(after)) => before.iter().find_map(|(key, value)| {
+            if MAY_BE_ABSENT.contains(&key.as_str()) {
+                return None;
+            }
+            let Some(next) = after.get(key) else { return Some(key.clone()) };
+            lost(value, next).map(|rest| format!("{key}.{rest}"))
+        }),
+        (Value::Array(before), Value::Array(after)) => {
+            let mut common = before.iter().cloned().reduce(|a, b| match (a, b) {
+                (Value::Object(mut a), Value::Object(b)) => {
+                    a.retain(|key, _| b.contains_key(key));
+                    Value::Object(a)
+                }
+                _ => Value::Null,
+            });
+            let common = common.take()?;
+            after.iter().enumerate().find_map(|(n, v)| Some(format!("{n}.{}", lost(&common, v)?)))
+        }
+        _ => None,
+    }
 }
 
 fn hexadecimal<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
@@ -81,6 +115,22 @@
         address.map(Some).ok_or_else(|| format!("ROUTER_ADMIN_ADDR is no address: {}", text.display()))
     }
 
+    /// The first setting or limit that another has and this one lacks.
+    pub fn lacks(&self, document: &Value) -> Option<String> {
+        lost(document, &self.document)
+    }
+
+    /// The settings, by their first names, that differ from another's.
+    pub fn changes(&self, document: &Value) -> Vec<String> {
+        let (Some(before), Some(after)) =
+            (document["settings"].as_object(), self.document["settings"].as_object())
+        else {
+            return Vec::new();
+        };
+        let names = before.keys().chain(after.keys().filter(|k| !before.contains_key(*k)));
+        names.filter(|k| before.get(*k) != after.get(*k)).cloned().collect()
+    }
+
     fn parse(text: &str) -> Result<Self, String> {
         let document: Document = serde_json::from_str(text).map_err(|e| e.to_string())?;
         let settings = wire::parse_settings(document.settings.get()).map_err(|e| e.to_string())?;
@@ -90,8 +140,9 @@
             ("listen", document.listen.to_string().into()),
             ("admin_addr", document.admin_addr.map(|a| a.to_string()).into()),
             ("limits", serde_json::to_value(&document.limits).map_err(|e| e.to_string())?),
-            ("settings", serde_json::from_str(document.settings.get()).map_err(|e| e.to_string())?),
         ]);
+        let settings_text: Value =
+            serde_json::from_str(document.settings.get()).map_err(|e| e.to_string())?;
         Ok(Config {
             name: document.name,
             listen: document.listen,
@@ -102,6 +153,7 @@
             memory_mb: document.limits.memory_mb,
             known: document.known,
             settings,
+            document: serde_json::json!({"settings": settings_text, "limits": document.limits}),
             fixed,
         })
     }
--- a/src/bin/rowanway/endpoints.rs
+++ b/src/bin/rowanway/endpoints.rs
@@ -520,6 +520,11 @@
         Pool { descriptors, connect_timeout, keep, idle: HashMap::new(), swept: false, most: MOST_KEPT }
     }
 
+    /// Goes on with other limits; what is idle keeps the time that it was given.
+    pub fn retune(&mut self, limits: &Limits) {
+        (self.keep, self.connect_timeout) = (limits.idle_close.mul_f64(IDLE_PART), limits.connect_timeout);
+    }
+
     fn take(&mut self, endpoint: &EndpointId) -> Option<Link> {
         let idle = self.idle.get_mut(endpoint)?;
         let now = Instant::now();
--- a/src/bin/rowanway/main.rs
+++ b/src/bin/rowanway/main.rs
@@ -94,12 +94,9 @@
 /// is wrong with it is one line of the log, and all stays as it was.
 async fn reload_on(node: Handle, mut hangup: Signal) {
     while hangup.recv().await.is_some() {
-        match Config::from_environment() {
-            Ok(config) => node.reload(&config),
-            Err(problem) => {
-                node.borrow().figures.reload_errors += 1;
-                eprintln!("rowanway: the configuration stays as it was: {problem}");
-            }
+        if let Err(problem) = Config::from_environment().and_then(|config| node.reload(config)) {
+            node.borrow().figures.reload_errors += 1;
+            eprintln!("rowanway: the configuration stays as it was: {problem}");
         }
     }
 }
@@ -111,7 +108,7 @@
         () = server::accept(node.clone(), &listener) => {}
         _ = stop.recv() => {}
     }
-    let longest = node.borrow().settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+    let longest = node.borrow().terms.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
     let end = Instant::now() + longest + LAST_MOMENT;
     let counted = longest.min(COUNTED);
     counters::tell(node);
--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -13,6 +13,7 @@
 use crate::upgrade::{self, Folder, Twin, Word};
 use passproxy::api::*;
 use passproxy::choice::{Balancer, Census};
+use serde_json::Value;
 use std::cell::{RefCell, RefMut};
 use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -26,6 +27,9 @@
 /// The longest time ahead that is told apart from later ones, so that no sum overflows.
 pub const FAR_OFF: Duration = Duration::from_secs(3600);
 
+/// What comes so long after a reload may have been sent before it.
+const LATE: Duration = Duration::from_secs(1);
+
 /// One monotonic clock: Unix time at the start, and what has passed since. Starts of endpoints, which discovery
 /// gives in Unix time, are moments of it as they stand.
 #[derive(Clone, Copy)]
@@ -99,6 +103,12 @@
     task: Option<Task>,
 }
 
+/// The settings in force, and the module's ids of their classes, in their order.
+pub struct Terms {
+    pub settings: Settings,
+    pub classes: Vec<ClassId>,
+}
+
 /// What discovery last said of an endpoint.
 struct Member {
     address: SocketAddr,
@@ -117,7 +127,10 @@
 
 pub struct Node {
     pub clock: Clock,
-    pub settings: Rc<Settings>,
+    pub terms: Rc<Terms>,
+    /// Those before the last reload, and when that was.
+    terms_before: Option<(Rc<Terms>, Instant)>,
+    document: Value,
     pub callers: Callers,
     pub pool: Pool,
     /// Room for callers' bodies, and for endpoints' answers.
@@ -173,7 +186,12 @@
             bodies: Bodies::part_of(config.memory_mb, 4),
             answers: Bodies::part_of(config.memory_mb, 8),
             pool: Pool::new(descriptors, &config.settings.limits),
-            settings: Rc::new(config.settings),
+            terms: Rc::new(Terms {
+                classes: (0..config.settings.classes.len()).map(ClassId).collect(),
+                settings: config.settings,
+            }),
+            terms_before: None,
+            document: config.document,
             members: HashMap::new(),
             version: None,
             open: HashMap::new(),
@@ -194,14 +212,14 @@
         let bans = node.borrow().folder.as_ref().map(|f| f.bans()).unwrap_or_default();
         bans.iter().for_each(|endpoint| node.banned(endpoint.as_str().into(), true));
         {
-            let Node { figures, settings, .. } = &mut *node.borrow();
-            figures.name(settings.classes.iter().map(|c| c.name.as_str()));
+            let Node { figures, terms, .. } = &mut *node.borrow();
+            figures.name(terms.settings.classes.iter().map(|c| c.name.as_str()));
         }
         if let Some(known) = config.known {
             node.borrow().version = Some(known.index);
             node.learn(known, News::Stale);
         }
-        if replaces || node.borrow().settings.discovery == Discovery::Pushed {
+        if replaces || node.borrow().terms.settings.discovery == Discovery::Pushed {
             node.borrow().watch(&node);
         }
         if replaces {
@@ -216,8 +234,13 @@
     /// Takes over what the configuration now says, as far as a running process can. A discovery that has moved is
     /// asked at once; until it has spoken the one before is listened to. `known` is not news: what has been told
     /// since the start is fresher.
-    pub fn reload(&self, config: &Config) {
+    ///
+    /// # Errors
+    /// What is wrong with it; then nothing of it is taken over.
+    pub fn reload(&self, config: Config) -> Result<(), String> {
+        let changed = self.retune(&config)?;
         let mut node = self.borrow();
+        node.figures.reloads += 1;
         let moved = config.discovery != node.discovery.address;
         if moved {
             node.discovery = Source { address: config.discovery, turn: node.discovery.turn + 1 };
@@ -233,7 +256,41 @@
         let discovery = if moved { format!("moves to {}", config.discovery) } else { "stays".into() };
         let restart =
             if fixed.is_empty() { String::new() } else { format!("; only a restart takes over: {fixed}") };
-        eprintln!("rowanway: configuration read again: discovery {discovery}{restart}");
+        let settings =
+            if changed.is_empty() { "stay".into() } else { format!("change in {}", changed.join(", ")) };
+        eprintln!("rowanway: configuration read again: discovery {discovery}, settings {settings}{restart}");
+        Ok(())
+    }
+
+    /// Goes on with the settings of a configuration, and tells which have changed.
+    fn retune(&self, config: &Config) -> Result<Vec<String>, String> {
+        let mut node = self.borrow();
+        if let Some(key) = config.lacks(&node.document) {
+            return Err(format!("{key} is missing, which was there before"));
+        }
+        let changed = config.changes(&node.document);
+        if changed.is_empty() {
+            return Ok(changed);
+        }
+        let (now, mut actions) = (node.clock.now(), Vec::new());
+        let classes = node.balancer.retune(now, config.settings.clone(), &mut actions);
+        let classes = classes.map_err(|e| format!("settings: {e}"))?;
+        let asks = node.terms.settings.discovery != config.settings.discovery;
+        let terms = Rc::new(Terms { settings: config.settings.clone(), classes });
+        let before = std::mem::replace(&mut node.terms, terms);
+        node.terms_before = Some((before, Instant::now()));
+        node.document = config.document.clone();
+        node.pool.retune(&config.settings.limits);
+        node.figures.name(config.settings.classes.iter().map(|c| c.name.as_str()));
+        for action in actions {
+            node.carry_out(self, action);
+        }
+        if asks {
+            node.watch(self);
+        }
+        drop(node);
+        self.tell(Event::Timer { token: 0 }); // what carrying out has brought goes on to the module
+        Ok(changed)
     }
 
     pub fn borrow(&self) -> RefMut<'_, Node> {
@@ -259,15 +316,21 @@
 
     /// Takes a request. The answer comes once; [`Handle::client_gone`] and [`Handle::overdue`] say that it is
     /// no longer wanted.
-    pub fn take(&self, request: Request, forward: Forward) -> Result<oneshot::Receiver<Answer>, NotTaken> {
+    pub fn take(
+        &self,
+        mut request: Request,
+        forward: Forward,
+    ) -> Result<oneshot::Receiver<Answer>, NotTaken> {
         let (reply, answer) = oneshot::channel();
         let mut node = self.borrow();
-        if node.unanswered >= node.settings.limits.max_open {
+        if node.unanswered >= node.terms.settings.limits.max_open {
             return Err(NotTaken::TooMany);
         }
         if node.open.contains_key(&request.id) {
             return Err(NotTaken::Repeated);
         }
+        // Read under the settings before, it may name a payer that there is no more.
+        request.tenant.take_if(|t| t.0 >= node.terms.settings.tenants.len());
         node.unanswered += 1;
         node.counters.taken += 1;
         let open = Open {
@@ -500,6 +563,12 @@
 }
 
 impl Node {
+    /// The settings that a request may have come under: those in force, and for a while those before.
+    pub fn terms_for(&self, begun: Instant) -> (Rc<Terms>, Option<Rc<Terms>>) {
+        let before = self.terms_before.as_ref().filter(|(_, until)| begun < *until + LATE);
+        (self.terms.clone(), before.map(|(terms, _)| terms.clone()))
+    }
+
     /// The sidecar has been told to stop: what it takes from now on is answered within this time.
     pub fn leave(&mut self, within: Duration) {
         self.last_answer = Some(self.clock.now() + within);
@@ -557,7 +626,7 @@
                 });
             }
             // An agent that pushes is followed unasked.
-            Action::Subscribe(_) if self.settings.discovery == Discovery::Pushed => {}
+            Action::Subscribe(_) if self.terms.settings.discovery == Discovery::Pushed => {}
             Action::Subscribe(false) => self.watch = None,
             Action::Subscribe(true) => {
                 // A reload may have asked already; a second watch would cost discovery a call for nothing.
@@ -580,7 +649,7 @@
 
     fn watch(&mut self, handle: &Handle) {
         let (node, source) = (handle.clone(), self.discovery);
-        self.watch = Some(match self.settings.discovery {
+        self.watch = Some(match self.terms.settings.discovery {
             Discovery::Pushed => Task::spawn(discovery::follow_agent(node, source)),
             Discovery::Asked => Task::spawn(discovery::watch(node, source, self.version)),
         });
--- a/src/bin/rowanway/server.rs
+++ b/src/bin/rowanway/server.rs
@@ -5,7 +5,7 @@
 use crate::descriptors::{Permit, Side};
 use crate::endpoints::{DEADLINE, Forward, end_to_end};
 use crate::inbound::{Fault, Inbound, Traffic};
-use crate::node::{Answer, FAR_OFF, Handle, Node, NotTaken};
+use crate::node::{Answer, FAR_OFF, Handle, Node, NotTaken, Terms};
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -331,8 +331,9 @@
                 let class = request.headers().get("x-class").and_then(|v| v.to_str().ok());
                 let reply = self.turn_away();
                 let mut node = self.node.borrow();
-                let known =
-                    class.filter(|c| node.settings.classes.iter().any(|k| k.name == **c)).map(String::from);
+                let known = class
+                    .filter(|c| node.terms.settings.classes.iter().any(|k| k.name == **c))
+                    .map(String::from);
                 known.iter().for_each(|c| node.figures.begin(c).end(reply.status()));
                 reply
             }
@@ -377,19 +378,27 @@
         begun: Instant,
         ticket: &mut Option<Ticket>,
     ) -> Result<Reply, Wrong> {
-        let (clock, settings, rooms) = {
+        let (clock, (terms, before), rooms) = {
             let node = self.node.borrow();
-            (node.clock, node.settings.clone(), node.bodies.clone())
+            (node.clock, node.terms_for(begun), node.bodies.clone())
         };
         let asked = clock.now();
         let (head, body) = request.into_parts();
         let early = !body.is_end_stream();
         let chunked = self.traffic.last.get();
-        let mut request =
-            asks(&head.method, &head.headers, &settings, asked).map_err(|w| Wrong { early, ..w })?;
+        let asked_of = |terms: Rc<Terms>| {
+            asks(&head.method, &head.headers, &terms.settings, asked).map(|request| (terms, request))
+        };
+        // Sent before a reload, it may be a request of the settings before alone.
+        let (terms, mut request) = asked_of(terms)
+            .or_else(|wrong| before.and_then(|terms| asked_of(terms).ok()).ok_or(wrong))
+            .map_err(|w| Wrong { early, ..w })?;
+        let settings = &terms.settings;
+        let class = &settings.classes[request.class.0];
+        request.class = terms.classes[request.class.0];
         let ticket = {
             let mut node = self.node.borrow();
-            ticket.insert(node.figures.begin(&settings.classes[request.class.0].name))
+            ticket.insert(node.figures.begin(&class.name))
         };
         // As much as it declares, or as much as may be kept.
         let most = body.size_hint().exact().map_or(bodies::KEPT, |n| n.min(bodies::KEPT as u64) as usize);
@@ -414,7 +423,7 @@
             headers: end_to_end(&head.headers),
             body: kept,
             upload: upload.clone(),
-            repeatable: settings.classes[request.class.0].effect != Effect::Unsafe,
+            repeatable: class.effect != Effect::Unsafe,
             _room: room,
         };
         let slack = settings.rules.answer_slack;
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -64,6 +64,8 @@
 const PROBE_SPEND: f64 = 0.03;
 /// Least time between two probes of an endpoint: its report is refreshed about as often.
 const PROBE_GAP: Duration = Duration::from_millis(100);
+/// A class that has left the settings is kept so long for requests that are on their way in with it.
+const CLASS_REST: Duration = Duration::from_secs(60);
 /// Less time left than this part of the usual answer time is nearly out of time.
 const NEARLY_OUT: f64 = 0.5;
 
@@ -74,24 +76,83 @@
     /// Settings that make no sense are named; see [`Settings::check`].
     pub fn new(set: Settings, seed: u64) -> Result<Self, SettingsError> {
         set.check()?;
-        let mut worths: Vec<f64> = set.classes.iter().map(|c| c.worth).collect();
+        let mut balancer = Balancer::blank(set, seed);
+        for (state, class) in balancer.classes.iter_mut().zip(&balancer.set.classes) {
+            state.usual = class.aim.as_secs_f64() * FIRST_GUESS;
+        }
+        balancer.set_levels();
+        Ok(balancer)
+    }
+
+    /// Worth levels and their thresholds, for the classes of the settings and those that requests still have.
+    fn set_levels(&mut self) {
+        let held: HashSet<usize> = self.requests.values().map(|p| p.request.class.0).collect();
+        let in_use = |c: &usize| self.classes[*c].retired.is_none() || held.contains(c);
+        let of = (0..self.classes.len()).filter(in_use).map(|c| self.set.classes[c].worth);
+        let mut worths: Vec<f64> = of.collect();
         worths.sort_by(f64::total_cmp);
         worths.dedup();
-        let spare = usize::from(!set.tenants.is_empty()); // level 0 is for traffic beyond a tenant's share
+        let spare = usize::from(!self.set.tenants.is_empty()); // level 0: traffic beyond a tenant's share
         let levels = worths.len() + spare;
         let step = (HIGHEST_DISCARD - LOWEST_ABATEMENT) / (3 * levels.max(1) - 1) as f64;
         let threshold = |i: usize| {
             let abatement = LOWEST_ABATEMENT + 3.0 * step * i as f64;
             Thresholds { abatement, onset: abatement + step, discard: abatement + 2.0 * step }
         };
-        let mut balancer = Balancer::blank(set, seed, levels);
-        balancer.thresholds = (0..levels).map(threshold).collect();
-        balancer.top_onset = threshold(levels - 1).onset;
-        for (state, class) in balancer.classes.iter_mut().zip(&balancer.set.classes) {
+        self.thresholds = (0..levels).map(threshold).collect();
+        self.top_onset = threshold(levels - 1).onset;
+        for (state, class) in self.classes.iter_mut().zip(&self.set.classes) {
             state.level = spare + worths.iter().position(|w| *w == class.worth).unwrap_or(0);
-            state.usual = class.aim.as_secs_f64() * FIRST_GUESS;
         }
-        Ok(balancer)
+        self.held.resize(levels, VecDeque::new());
+    }
+
+    /// Goes on with other settings, and tells the ids of their classes, in their order. A class that is as it
+    /// was keeps its id; any other gets one of its own, as requests under way keep the class they came with.
+    /// What is held and known goes on under the new thresholds.
+    ///
+    /// # Errors
+    /// Settings that make no sense are named, and all stays as it was.
+    pub fn retune(
+        &mut self,
+        now: Moment,
+        mut set: Settings,
+        out: &mut Vec<Action>,
+    ) -> Result<Vec<ClassId>, SettingsError> {
+        set.check()?;
+        let tenant = |name: &str| self.set.tenants.iter().position(|t| t.name == name);
+        let tenants = set.tenants.iter().map(|t| tenant(&t.name).map_or(0.0, |t| self.tenants[t]));
+        self.tenants = tenants.collect();
+        let table = std::mem::take(&mut self.set.classes);
+        let classes = std::mem::replace(&mut set.classes, table);
+        self.set = set;
+        for state in &mut self.classes {
+            state.retired = state.retired.or(Some(now));
+        }
+        let ids = classes.into_iter().map(|class| {
+            let first_guess = class.aim.as_secs_f64() * FIRST_GUESS;
+            self.place_class(now, class, first_guess, CLASS_REST)
+        });
+        let ids = ids.collect();
+        let held: Vec<RequestId> = self.held.iter_mut().rev().flat_map(std::mem::take).collect();
+        self.set_levels();
+        for id in held {
+            let Some(pending) = self.requests.get_mut(&id) else { continue };
+            let beyond_share = pending.level == 0 && !self.set.tenants.is_empty();
+            pending.level = if beyond_share { 0 } else { self.classes[pending.request.class.0].level };
+            self.held[pending.level].push_back(id);
+        }
+        for e in 0..self.endpoints.len() {
+            let [_, onset, discard] = self.levels_over(self.endpoints[e].depth);
+            let known = &mut self.endpoints[e];
+            (known.gapping, known.discarding) = (onset, discard);
+            let dear = self.set.prices.cross_zone >= DEAR_CROSSING;
+            known.far = usize::from(dear && known.zone != self.set.zone);
+        }
+        self.regroup(now);
+        self.release(now, out);
+        self.ask_and_arm(now, out);
+        Ok(ids)
     }
 
     /// Takes one event and adds what is to be done to `out`.
--- a/src/state.rs
+++ b/src/state.rs
@@ -86,8 +86,10 @@
     Cell(CellId),
 }
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct ClassState {
+    /// Since when it is none of the settings any more; requests under way keep it.
+    pub retired: Option<Moment>,
     pub level: usize,
     pub usual: f64,
     /// Means of hints and answer times, and how far they stray, alone and together.
@@ -158,8 +160,8 @@
 }
 
 impl Balancer {
-    /// An instance that knows of no endpoint yet, with so many worth levels.
-    pub(crate) fn blank(set: Settings, seed: u64, levels: usize) -> Self {
+    /// An instance that knows of no endpoint yet, and has no worth level.
+    pub(crate) fn blank(set: Settings, seed: u64) -> Self {
         Balancer {
             dice: Dice::new(seed),
             endpoints: Vec::new(),
@@ -175,7 +177,7 @@
             classes: set.classes.iter().map(|_| ClassState::default()).collect(),
             tenants: vec![0.0; set.tenants.len()],
             requests: HashMap::new(),
-            held: vec![VecDeque::new(); levels],
+            held: Vec::new(),
             turns: HashMap::new(),
             resting: VecDeque::new(),
             next_expiry: Moment::from_nanos(u64::MAX),
@@ -195,6 +197,34 @@
     }
 }
 
+impl Balancer {
+    /// The id of a class: its own, if the table has just that, else one that no request has and that left the settings so
+    /// long ago, or a new one. What is known of its name goes on, else its usual answer time is a guess.
+    pub(crate) fn place_class(&mut self, now: Moment, class: Class, guess: f64, rest: Duration) -> ClassId {
+        let table = &mut self.set.classes;
+        if let Some(c) = table.iter().position(|c| *c == class) {
+            self.classes[c].retired = None;
+            return ClassId(c);
+        }
+        let named = table.iter().rposition(|c| c.name == class.name);
+        let fresh = || ClassState { usual: guess, ..ClassState::default() };
+        let state = ClassState { retired: None, ..named.map_or_else(fresh, |c| self.classes[c].clone()) };
+        let used: HashSet<usize> = self.requests.values().map(|p| p.request.class.0).collect();
+        let rested = |s: &ClassState| s.retired.is_some_and(|at| now.since(at) >= rest);
+        let free = (0..table.len()).find(|c| rested(&self.classes[*c]) && !used.contains(c));
+        let c = free.unwrap_or(table.len());
+        if c == table.len() {
+            table.push(class);
+            self.classes.push(state);
+            self.endpoints.iter_mut().for_each(|e| e.faults.push(Fault::default()));
+        } else {
+            (table[c], self.classes[c]) = (class, state);
+            self.endpoints.iter_mut().for_each(|e| e.faults[c] = Fault::default());
+        }
+        ClassId(c)
+    }
+}
+
 impl ClassState {
     /// How much longer an answer takes, in seconds, for each second more in its hint.
     pub fn slope(&self) -> f64 {
