Make room at idle callers before those whose request is on its way

Lines at fault: the order in Callers::make_room. A head that had begun went before connections idle for under 2 s, of which a crowd that asks once and stays has hundreds, the oldest head first, slow or silent; and a connection with nothing read yet went before all others, so that those accepted together closed each other. Now: what has said nothing for 0.3 s, idle over 2 s, silent for 0.7 s within a head, idle at all, the rest.

--- a/src/bin/rowanway/inbound.rs
+++ b/src/bin/rowanway/inbound.rs
@@ -39,6 +39,8 @@
     pub idle_since: Cell<Option<Instant>>,
     /// When the first byte of the request came that the service has not seen yet.
     pub head_since: Cell<Option<Instant>>,
+    /// When the last byte came of a head that was awaited.
+    pub heard: Cell<Instant>,
     /// A whole head has come on it.
     pub asked: Cell<bool>,
     /// What the service answers the stand-in with.
@@ -60,6 +62,7 @@
             opened: now,
             idle_since: Cell::new(Some(now)),
             head_since: Cell::new(None),
+            heard: Cell::new(now),
             asked: Cell::new(false),
             fault: Cell::new(None),
             last: Cell::new(false),
@@ -196,6 +199,7 @@
             self.unread = Vec::new(); // most connections are idle most of the time
         }
         ready!(read)?;
+        self.traffic.heard.set(Instant::now());
         if n > 0 && self.traffic.head_since.get().is_none() {
             self.traffic.head_since.set(Some(Instant::now()));
         }
--- a/src/bin/rowanway/server.rs
+++ b/src/bin/rowanway/server.rs
@@ -37,6 +37,10 @@
 /// A connection may stand so long between requests before it is closed, and so long before it makes room for others.
 const IDLE_TIME: Duration = Duration::from_secs(15);
 const SPARED_IDLE: Duration = Duration::from_secs(2);
+/// The first request of a new connection is on its way for so long at the most.
+const FRESH: Duration = Duration::from_millis(300);
+/// A slow caller sends a piece of its head more often than that; others send half of one and no more.
+const SILENT: Duration = Duration::from_millis(700);
 /// A caller may leave what has been written to it unread for so long. What the kernel holds of it takes a slow one
 /// many seconds, in which no more can be written.
 const UNREAD_TIME: Duration = Duration::from_secs(60);
@@ -123,17 +127,20 @@
 }
 
 impl Callers {
-    /// Asks one connection to make room: the oldest that has never asked anything, else the one that has been idle
-    /// longest, above all over 2 s, else the oldest whose head is not whole. False where all have requests open.
+    /// Asks one connection to make room: the oldest that has never asked anything, else one that has been idle for over
+    /// 2 s, else one that has fallen silent in the middle of a head, else any that is idle, and only then one whose
+    /// request may be on the way; of each kind the one of which nothing was heard longest. False where all have
+    /// requests open.
     pub fn make_room(&mut self) -> bool {
         let now = Instant::now();
         let rank = |c: &Caller| {
             let since = c.traffic.idle_since.get().filter(|_| !c.leaving)?;
             match (c.traffic.head_since.get(), c.traffic.asked.get()) {
-                (None, false) => Some((0, since)),
+                (None, false) if now >= since + FRESH => Some((0, since)),
                 (None, true) if now >= since + SPARED_IDLE => Some((1, since)),
-                (Some(begun), _) => Some((2, begun)),
+                (Some(_), _) if now >= c.traffic.heard.get() + SILENT => Some((2, c.traffic.heard.get())),
                 (None, true) => Some((3, since)), // better than to turn a caller away
+                (Some(_), _) | (None, false) => Some((4, c.traffic.heard.get())),
             }
         };
         let first = self.connections.iter().filter_map(|(n, c)| Some((rank(c)?, *n))).min();
--- a/tests/sidecar/callers.rs
+++ b/tests/sidecar/callers.rs
@@ -180,3 +180,59 @@
     kept.iter().for_each(|k| drop(k.shutdown(Shutdown::Both)));
     std::fs::remove_file(path).expect("the file goes");
 }
+
+/// Guards slow callers in a crowd: one whose head comes in pieces is not closed to make room while others stand idle.
+#[test]
+fn a_slow_head_outlives_idle_connections_in_a_crowd() {
+    let endpoint = Endpoint::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &[entry("e0", endpoint.address, "SERVING")]);
+    config["limits"]["sockets"] = json!(96);
+    let sidecar = Sidecar::start(&config);
+    let mut slow = TcpStream::connect(sidecar.address).expect("it accepts");
+    slow.set_read_timeout(Some(LONG)).expect("a time-out");
+    let request = get("5");
+    let mut idle = Vec::new();
+    for piece in request.as_bytes().chunks(request.len().div_ceil(5)) {
+        slow.write_all(piece).expect("it is open");
+        // More than the callers' part of the descriptors, in all.
+        for _ in 0..20 {
+            let mut client = sidecar.client();
+            assert_eq!(client.ask("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n").status(), 200);
+            idle.push(client);
+        }
+    }
+    let mut answer = [0; 12];
+    slow.read_exact(&mut answer).expect("an answer");
+    assert_eq!(&answer, b"HTTP/1.1 200");
+}
+
+/// Guards new callers in a crowd: those that connect together are not closed for each other before their requests come,
+/// while others stand idle. A machine that stalls between may spoil a round, not five.
+#[test]
+fn new_connections_do_not_close_each_other() {
+    let endpoint = Endpoint::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &[entry("e0", endpoint.address, "SERVING")]);
+    config["limits"]["sockets"] = json!(96);
+    let served = |_| {
+        let sidecar = Sidecar::start(&config);
+        let mut idle: Vec<Client> = (0..60).map(|_| sidecar.client()).collect();
+        for client in &mut idle {
+            client.write("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n");
+        }
+        std::thread::sleep(Duration::from_millis(50));
+        let mut new: Vec<TcpStream> =
+            (0..12).map(|_| TcpStream::connect(sidecar.address).expect("it accepts")).collect();
+        std::thread::sleep(Duration::from_millis(50));
+        let ask = |stream: &mut TcpStream| {
+            let mut answer = [0; 12];
+            stream.set_read_timeout(Some(LONG)).expect("a time-out");
+            let asked = stream.write_all(get("5").as_bytes());
+            asked.and_then(|()| stream.read_exact(&mut answer)).is_ok_and(|()| &answer == b"HTTP/1.1 200")
+        };
+        new.iter_mut().filter_map(|stream| ask(stream).then_some(())).count()
+    };
+    let rounds: Vec<usize> = (0..5).map(served).collect();
+    assert!(rounds.contains(&12), "{rounds:?}");
+}
