Leave callers with the older process until the newer one is ready

Seen while reading: take_over() gave up waiting after 3 s and had the older process stop accepting though the newer one knew of no endpoint that takes work; and a SIGTERM to the newer one in that time was not heard. Now the older one serves on for as long as it lives, and the newer one ends when told to. The test fails without the change (callers went over).

--- a/src/bin/rowanway/main.rs
+++ b/src/bin/rowanway/main.rs
@@ -76,7 +76,13 @@
     });
     eprintln!("rowanway: {name} listens on {listen}");
     if let Some(before) = before {
-        let taken = upgrade::take_over(&node, before).await;
+        let taken = tokio::select! {
+            taken = upgrade::take_over(&node, before) => taken,
+            _ = stop.recv() => {
+                eprintln!("rowanway: {name} stops before it has taken over");
+                return Ok(());
+            }
+        };
         taken.map_err(|e| format!("the process before: {e}"))?;
         eprintln!("rowanway: {name} takes over from the process before");
     }
--- a/src/bin/rowanway/upgrade.rs
+++ b/src/bin/rowanway/upgrade.rs
@@ -24,7 +24,7 @@
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpSocket, UnixListener, UnixStream};
 use tokio::sync::mpsc;
-use tokio::time::{Instant, sleep, timeout};
+use tokio::time::{sleep, timeout};
 
 /// The older process answers at once, or is not there.
 const ASKED: Duration = Duration::from_secs(1);
@@ -176,8 +176,8 @@
     socket.listen(BACKLOG)
 }
 
-/// The newer process's part: it waits until it is ready, has callers come to it, and stays in touch until the older one
-/// has ended.
+/// The newer process's part: it waits until it is ready, as long as the older one serves, has callers come to it, and
+/// stays in touch until the older one has ended.
 pub async fn take_over(node: &Handle, before: Before) -> io::Result<()> {
     before.stream.set_nonblocking(true)?;
     let stream = UnixStream::from_std(before.stream)?;
@@ -187,8 +187,8 @@
         twin.part();
         eprintln!("rowanway: the process before has ended");
     });
-    let until = Instant::now() + NEWS_WITHIN;
-    while !node.borrow().takes_callers() && Instant::now() < until {
+    let is_alone = || node.borrow().twin.is_none();
+    while !node.borrow().takes_callers() && !is_alone() {
         sleep(LOOK).await;
     }
     node.borrow().tell_twin(Word::Serving);
--- a/tests/sidecar/upgrade.rs
+++ b/tests/sidecar/upgrade.rs
@@ -87,18 +87,38 @@
 }
 
 /// Guards readiness: a list in the configuration may be old, and the older process serves meanwhile; discovery is heard
-/// first, for a while.
+/// first, and with nowhere to send, callers stay where they are. Told to stop then, it just ends.
 #[test]
 fn discovery_is_heard_before_callers_are() {
     let endpoint = Endpoint::start(|_| ok("x"));
     let mut place = Place::over(&[&endpoint]);
-    let before = place.start(None);
-    place.known[0]["status"] = json!("DRAINING");
+    let mut before = place.start(None);
     place.speaks();
-    let next = place.start(Some(before.address));
+    let _watch = place.discovery.next_watch();
+    place.known[0]["status"] = json!("DRAINING");
+    let mut next = place.start(Some(before.address));
     place.speaks();
-    next.awaits_log("takes over");
+    let mut watch = place.discovery.next_watch();
     assert!(!next.says_yes("READY"), "all that it knows of drains");
+    assert_eq!(before.client().ask(&get("5")).status(), 200);
+    assert_eq!(next.ended("completed", "safe"), Some(0));
+    watch.write_line(&list(42, true, &serving(&[&endpoint])));
+    awaits("it is ready", || next.says_yes("READY"));
+    before.awaits_log("callers go over to the process after");
+    // With the older one gone, one that knows of no endpoint is all that there is.
+    next.kill();
+    before.awaits_log("let in here again");
+    let mut next = place.start(Some(before.address));
+    place.speaks();
+    next.terminate();
+    assert!(next.wait().success());
+    next.awaits_log("stops before it has taken over");
+    let last = place.start(Some(before.address));
+    place.speaks();
+    assert!(!last.says_yes("READY"));
+    before.kill();
+    last.awaits_log("takes over from the process before");
+    assert_eq!(last.client().ask("GET /ready HTTP/1.1\r\nHost: s\r\n\r\n").status(), 503);
 }
 
 /// Guards the older process's service: where the newer one ends, callers are let in again, and the next one can take
