Take a held request off the queue as soon as its client has left

Seen: reading `end` for the pair "client gone, while held": the request goes from `requests`, its id stays in `held`. `release` drops such ids only at the front, and stops at the first request that has nowhere to go; all behind it count against the queue limit in `accept` until the next expiry, and push out requests of clients that are still there. Ruled out: that only the census is wrong. The test's second figure is the length that `accept` compares with the limit. At fault: src/choice.rs, `end`. Before: held 2, open 1 after one of two has left; now 1 and 1. The test fails without the line (tried).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -786,6 +786,10 @@
     fn end(&mut self, id: &RequestId, keep: Option<AttemptNo>, out: &mut Vec<Action>) {
         let Some(mut pending) = self.requests.remove(id) else { return };
         pending.answered |= keep.is_none_or(|k| k < pending.attempts.len()); // else a host's slip
+        if pending.answered {
+            // Left there it would count against those behind it, past the queue limit, until its time.
+            self.held[pending.level].retain(|held| held != id);
+        }
         for (attempt, a) in pending.attempts.iter().enumerate() {
             if pending.answered && a.fate == Fate::Out && keep != Some(attempt) && self.set.limits.cancel {
                 out.push(Action::Abandon { request: id.clone(), attempt });
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -113,6 +113,27 @@
     assert_eq!(first, Some(high));
 }
 
+/// Guards the queue limit: clients that leave while they are held make room for those that come after them, also
+/// behind one that stays.
+#[test]
+fn a_held_request_whose_client_has_left_is_held_no_more() {
+    let mut host = Host::new(settings(), Vec::new());
+    let (stays, actions) = host.request(0);
+    assert_eq!(answered(&actions, &stays), 0, "nowhere to send: held");
+    for _ in 0..8 {
+        host.now = host.now + ms(100);
+        let (id, actions) = host.request(0);
+        assert_eq!(answered(&actions, &id), 0, "only one other is there: held");
+        let actions = host.tell(Event::ClientGone { request: id.clone() });
+        assert!(actions.iter().all(|a| matches!(a, Action::SetTimer { .. })), "nothing is owed or out");
+        let census = host.balancer.census(host.now);
+        assert_eq!((census.held, census.open), (1, 1));
+        host.tell(Event::ClientGone { request: id });
+    }
+    let actions = host.members(News::Delta, listings(1));
+    assert_eq!(sent(&actions), [stays]);
+}
+
 #[test]
 fn a_tenant_beyond_its_share_ranks_below_all_only_where_throttled() {
     let mut set = two_levels();
