Let a connection settle for 100 ms before it carries the next request

Seen (probe with a stub endpoint): an endpoint that answers twice, the second time 20 ms after the first, has the next request on that connection served with the answer of the one before: "1, false: 200 id-1". Cause: `Pool::take` gives a connection out again at once; `is_clean` looks at what has come by then, nobody after that. Ruled out: bytes that come with the answer (hyper closes on them), and those in the socket at the pick (peeked at). At fault: src/bin/rowanway/endpoints.rs, `Pool::take` and `put_back`. Mended: what has just carried an answer rests for 100 ms, in which hyper or the peek sees what does not belong there.

--- a/src/bin/rowanway/endpoints.rs
+++ b/src/bin/rowanway/endpoints.rs
@@ -37,6 +37,10 @@
 /// written to is a reset, which loses an unsafe request.
 const IDLE_PART: f64 = 0.7;
 
+/// An endpoint may close a connection just after an answer, or answer once more: used again at once, the connection would
+/// bring that to the next request. What comes within this time is seen while nobody has it.
+const SETTLES: Duration = Duration::from_millis(100);
+
 /// What of an answer may stand unread in a connection's buffer, and so the longest head.
 const READ_BUFFER: usize = 16 << 10;
 /// Answers of the kind 1xx that may come ahead of one.
@@ -498,6 +502,8 @@
 
 struct Idle {
     link: Link,
+    /// Not used before.
+    settled: Instant,
     until: Instant,
 }
 
@@ -515,7 +521,8 @@
     fn take(&mut self, endpoint: &EndpointId) -> Option<Link> {
         let idle = self.idle.get_mut(endpoint)?;
         let now = Instant::now();
-        while let Some(Idle { link, until }) = idle.pop() {
+        while let Some(last) = idle.iter().rposition(|i| i.settled <= now) {
+            let Idle { link, until, .. } = idle.remove(last);
             if now < until && link.is_clean() {
                 return Some(link);
             }
@@ -529,7 +536,8 @@
         if link.sender.is_closed() || !link.wire.is_written() || kept.len() >= self.most {
             return false;
         }
-        kept.push(Idle { link, until: Instant::now() + self.keep });
+        let now = Instant::now();
+        kept.push(Idle { link, settled: now + SETTLES, until: now + self.keep });
         !std::mem::replace(&mut self.swept, true)
     }
 
--- a/tests/sidecar/spoilt.rs
+++ b/tests/sidecar/spoilt.rs
@@ -1,6 +1,11 @@
 //! What endpoints send that is not as it ought to be.
 
 use crate::stubs::*;
+use std::io::{BufReader, Write};
+use std::net::{Shutdown, TcpListener};
+use std::sync::mpsc::channel;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 /// Guards the module's view of load: reports come with the names that the settings give their fields. An endpoint that
 /// reports a long queue gets nothing while another is clear; figures that cannot be are no report.
@@ -85,3 +90,54 @@
         }
     }
 }
+
+/// Guards the next request against what the endpoint says late: once its answer is with the client it answers again, or
+/// closes, and the next request may not be on that connection by then. The stub does so while that request is asked.
+#[test]
+fn a_second_answer_that_comes_late_is_no_answer_to_the_next_request() {
+    for closes in [false, true] {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (asked, asks) = channel::<()>();
+        let first_is_done = Arc::new(Mutex::new(asks));
+        std::thread::spawn(move || {
+            for (number, stream) in listener.incoming().map_while(Result::ok).enumerate() {
+                let first_is_done = first_is_done.clone();
+                std::thread::spawn(move || {
+                    let mut stream = BufReader::new(stream);
+                    while let Some(message) = read_message(&mut stream) {
+                        let id = message.header("x-request-id").expect("an id").to_string();
+                        let text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{id}", id.len());
+                        let _ = stream.get_mut().write_all(text.as_bytes());
+                        if number == 0 {
+                            let _ = first_is_done.lock().expect("the only one").recv();
+                            if closes {
+                                return drop(stream.get_mut().shutdown(Shutdown::Both));
+                            }
+                            let _ = stream.get_mut().write_all(text.as_bytes());
+                        }
+                    }
+                });
+            }
+        });
+        let discovery = Discovery::start();
+        let sidecar = Sidecar::start(&config(discovery.address, &[entry("e0", address, "SERVING")]));
+        let mut client = sidecar.client();
+        // The second comes with the first, so that it is sent as soon as that is answered.
+        let requests = [0, 1, 2, 3].map(|_| get("5"));
+        client.write(&requests[..2].concat());
+        for (n, request) in requests.iter().enumerate() {
+            if n >= 2 {
+                client.write(request);
+            }
+            let reply = client.read().expect("an answer");
+            let body = String::from_utf8(reply.body.clone()).expect("text");
+            let own = request.contains(&format!("X-Request-Id: {body}\r\n"));
+            assert!(reply.status() == 200 && own, "{n}, {closes}: {} {body}", reply.status());
+            if n == 0 {
+                std::thread::sleep(Duration::from_millis(20)); // the second is out
+                asked.send(()).expect("the stub waits");
+            }
+        }
+    }
+}
