Ask for a lost subscription again in time also where copies may go long without

The clock for silence is the same everywhere: 6 s after the watch fell silent, of which 4.2 s have passed when it is noticed. At fault: src/choice.rs, `learn`, `News::Failed`. The wait is now that of a site with 10 s, or less; unchanged at the kit's. The test fails without the change (tried).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,6 +38,9 @@
 /// Price of a crossing between zones from which a copy keeps to its own: zones have uneven numbers of copies
 /// for their endpoints, and an even deal over the whole tier is worth about two crossings of this price.
 const DEAR_CROSSING: f64 = 0.01;
+/// However long a copy may go without asking, a lost subscription is asked for again as if it were this: what it
+/// misses counts as told 6 s after it fell silent, most of which have passed when that is noticed.
+const SILENCE_COUNTS: Duration = Duration::from_secs(10);
 /// Weight of one answer in an endpoint's stretch and faults, and of one in a class's usual time.
 const ENDPOINT_WEIGHT: f64 = 0.3;
 const USUAL_WEIGHT: f64 = 0.05;
@@ -201,7 +204,7 @@
     fn learn(&mut self, now: Moment, news: News, entries: &[Listing], out: &mut Vec<Action>) {
         if news == News::Failed {
             // All copies lose their subscription together; asking at once and in step would keep it lost.
-            let within = self.set.rules.ask_within.as_secs_f64();
+            let within = self.set.rules.ask_within.min(SILENCE_COUNTS).as_secs_f64();
             let wait = within * 0.05 * f64::from(1 << self.failed_asks.min(4)) * (0.5 + self.dice.unit());
             self.failed_asks += 1;
             self.ask_at = Some(now + seconds(wait));
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -410,6 +410,23 @@
     assert!(times.len() > 15, "copies ask at different times");
 }
 
+/// Guards the clock for silence, which is the same at all sites: 6 s after a watch fell silent, of which 4.2 s have passed
+/// when that is noticed. A site where copies may go long without asking gave its own time a part in the wait.
+#[test]
+fn a_lost_subscription_is_asked_for_again_in_time_at_any_site() {
+    for within in [1_000, 10_000, 120_000] {
+        for _ in 0..20 {
+            let mut set = settings();
+            (set.discovery, set.rules.ask_within) = (Discovery::Asked, ms(within));
+            let mut host = Host::new(set, listings(1));
+            host.members(News::Full, listings(1));
+            let actions = host.members(News::Failed, Vec::new());
+            let again = timers(&actions).iter().map(|(at, _)| at.since(host.now)).min();
+            assert!(again.is_some_and(|again| again < ms(1_000)), "{within}: {again:?}");
+        }
+    }
+}
+
 #[test]
 fn a_copy_whose_first_members_are_cold_still_has_warm_ones() {
     // Half of the tier has just started; the subset must not be mostly cold members that may hardly be used.
