Take no older list after a newer one, and open the watch anew

Seen (probe: tests/sidecar/watches.rs): word of changes with a lower version than the list that is known was applied: an endpoint told to drain served again, one that was gone came back, and the version went back with it. At fault: src/bin/rowanway/node.rs, `news`, which replaced the version unseen. Now an older word fails the watch, and the next goes on from the newest version. A whole list that is older twice running is a discovery that was set back: it is believed, but what was told to drain goes on. Ruled out: two watches at once; the older is dropped when the newer opens.

--- a/src/bin/rowanway/discovery.rs
+++ b/src/bin/rowanway/discovery.rs
@@ -20,8 +20,8 @@
 const SILENCE: Duration = Duration::from_millis(4_200);
 /// Pause before a pushed list's agent is called again: nobody else decides on it there.
 const AGENT_PAUSE: Duration = Duration::from_millis(300);
-/// The longest line or list taken. The largest fleets need a fiftieth of it.
-const LONGEST_LINE: usize = 4 << 20;
+/// The longest list taken, or word of changes. The largest fleets need a fiftieth of it.
+const LONGEST_LIST: usize = 4 << 20;
 
 type Failure = Box<dyn Error>;
 
@@ -115,18 +115,19 @@
 
 /// Asks for the whole list once.
 pub async fn fetch(node: Handle, source: Source) {
-    match whole_list(source).await {
-        Ok(list) => node.news(source, list),
-        Err(failure) => {
-            eprintln!("rowanway: discovery gave no list: {failure}");
-            node.news_failed(source);
-        }
+    let told = match whole_list(source).await {
+        Ok(list) => node.news(source, list).map_err(Failure::from),
+        Err(failure) => Err(failure),
+    };
+    if let Err(failure) = told {
+        eprintln!("rowanway: discovery gave no list: {failure}");
+        node.news_failed(source);
     }
 }
 
 async fn whole_list(source: Source) -> Result<EndpointList, Failure> {
     let body = ask(source.address, "/v1/endpoints").await?;
-    let body = timeout(SILENCE, Limited::new(body, LONGEST_LINE).collect()).await?;
+    let body = timeout(SILENCE, Limited::new(body, LONGEST_LIST).collect()).await?;
     let body = body.map_err(|e| -> Failure { e })?;
     Ok(serde_json::from_slice(&body.to_bytes())?)
 }
@@ -140,7 +141,7 @@
             None => {
                 let list = whole_list(source).await?;
                 let since = list.index;
-                node.news(source, list);
+                node.news(source, list)?;
                 since
             }
         };
@@ -156,11 +157,11 @@
                 unread.advance(1);
                 from = 0;
                 if !line.trim_ascii().is_empty() {
-                    node.news(source, serde_json::from_slice(&line)?);
+                    node.news(source, serde_json::from_slice(&line)?)?;
                 }
             }
-            if unread.len() > LONGEST_LINE {
-                return Err("a line is too long".into());
+            if unread.len() > LONGEST_LIST {
+                return Err("a list is too long".into());
             }
         }
         Err::<(), Failure>("discovery closed it".into())
--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -142,6 +142,8 @@
     members: HashMap<EndpointId, Member>,
     /// The version of the list that the present discovery gave; none of another's counts there.
     version: Option<u64>,
+    /// Its last word was older than that, and was not believed.
+    told_older: bool,
     open: HashMap<RequestId, Open>,
     unanswered: u64,
     discovery: Source,
@@ -194,6 +196,7 @@
             document: config.document,
             members: HashMap::new(),
             version: None,
+            told_older: false,
             open: HashMap::new(),
             unanswered: 0,
             discovery: Source { address: config.discovery, turn: 0 },
@@ -474,13 +477,23 @@
     }
 
     /// Discovery has sent the whole list, or what has changed.
-    pub fn news(&self, source: Source, mut list: EndpointList) {
+    ///
+    /// # Errors
+    /// It is older than what was told before: then nothing of it is taken. A discovery that was set back tells its whole
+    /// list again when it is asked again, which is believed.
+    pub fn news(&self, source: Source, mut list: EndpointList) -> Result<(), &'static str> {
         let mut node = self.borrow();
         if source == node.discovery {
+            let is_older = node.version.is_some_and(|version| list.index < version);
+            if is_older && !(list.snapshot && node.told_older) {
+                node.told_older = list.snapshot;
+                return Err("it tells what is older than what it told before");
+            }
+            node.told_older = false;
             node.listens_until = None;
-            if node.version.replace(list.index).is_none() {
-                // The first word after a move may be older than the last of the discovery before: what was told
-                // to drain does so for as long as its process lives.
+            if node.version.replace(list.index).is_none() || is_older {
+                // The first word after a move may be older than the last of the discovery before, as may one that was
+                // set back: what was told to drain does so for as long as its process lives.
                 for entry in &mut list.endpoints {
                     let listing = entry.listing();
                     let member = node.members.get(&listing.endpoint);
@@ -491,11 +504,12 @@
             }
             node.watch_before = None;
         } else if node.version.is_some() {
-            return; // the present one has spoken
+            return Ok(()); // the present one has spoken
         }
         drop(node);
         let news = if list.snapshot { News::Full } else { News::Delta };
         self.learn(list, news);
+        Ok(())
     }
 
     /// Asking failed, or the watch was lost. That of a discovery that is no longer asked was to be.
