Read whole lists from the watch, however they are broken into lines and pieces

Seen (probe: tests/sidecar/watches.rs): an indented list on the watch failed it at its first line; asked again, discovery told the same, and so on: the change was never known, and each round cost discovery a call. At fault: src/bin/rowanway/discovery.rs, `follow`, which took each line for a whole object. Now serde_json's stream reads objects as they are whole; half of one waits for the rest, and what is no JSON fails the watch as before. Ruled out: the whole list, which is read to its end first.

--- a/src/bin/rowanway/discovery.rs
+++ b/src/bin/rowanway/discovery.rs
@@ -149,16 +149,20 @@
         let mut unread = BytesMut::new();
         while let Some(frame) = timeout(SILENCE, body.frame()).await? {
             let Ok(data) = frame?.into_data() else { continue };
-            let seen = unread.len();
             unread.extend_from_slice(&data);
-            let mut from = seen;
-            while let Some(end) = unread[from..].iter().position(|b| *b == b'\n') {
-                let line = unread.split_to(from + end);
-                unread.advance(1);
-                from = 0;
-                if !line.trim_ascii().is_empty() {
-                    node.news(source, serde_json::from_slice(&line)?)?;
+            // Whole objects are read as they come, whichever way they are broken into lines and pieces.
+            let mut lists = serde_json::Deserializer::from_slice(&unread).into_iter::<EndpointList>();
+            let mut read = 0;
+            while let Some(list) = data.contains(&b'}').then(|| lists.next()).flatten() {
+                match list {
+                    Err(e) if e.is_eof() => break,
+                    list => node.news(source, list?)?,
                 }
+                read = lists.byte_offset();
+            }
+            unread.advance(read);
+            if unread.iter().all(u8::is_ascii_whitespace) {
+                unread.clear();
             }
             if unread.len() > LONGEST_LIST {
                 return Err("a list is too long".into());
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -11,6 +11,7 @@
 mod spoilt;
 mod stubs;
 mod upgrade;
+mod watches;
 
 use serde_json::json;
 use std::io::Read;
--- /dev/null
+++ b/tests/sidecar/watches.rs
@@ -0,0 +1,180 @@
+//! The watch on discovery, where what it tells comes in pieces, late, or not at all.
+
+use crate::stubs::*;
+use serde_json::{Value, json};
+use socket2::SockRef;
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::Duration;
+
+/// A discovery whose every call the test answers itself.
+struct Calls(TcpListener);
+
+/// One call of it, and the connection that it came on.
+struct Call {
+    asked: String,
+    stream: TcpStream,
+}
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+impl Calls {
+    fn start() -> Self {
+        Calls(TcpListener::bind("127.0.0.1:0").expect("a port"))
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.0.local_addr().expect("an address")
+    }
+
+    fn next(&self) -> Call {
+        let (stream, _) = self.0.accept().expect("a call");
+        let mut reader = BufReader::new(stream);
+        let asked = read_message(&mut reader).expect("a request").first;
+        Call { asked, stream: reader.into_inner() }
+    }
+}
+
+impl Call {
+    fn follows(&self, since: u64) -> bool {
+        self.asked.starts_with(&format!("GET /v1/endpoints?follow=1&since={since} "))
+    }
+
+    fn writes(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).expect("it is open");
+    }
+
+    fn chunk(&mut self, text: &str) {
+        self.writes(&format!("{:x}\r\n{text}\r\n", text.len()));
+    }
+
+    fn is_reset(self) {
+        SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).expect("an option");
+    }
+}
+
+fn over(discovery: &Calls, endpoints: &[&Endpoint]) -> Sidecar {
+    Sidecar::start(&with_admin(config(discovery.address(), &serving(endpoints))))
+}
+
+fn indented(index: u64, snapshot: bool, endpoints: &[Value]) -> String {
+    let list = json!({"index": index, "snapshot": snapshot, "endpoints": endpoints});
+    format!("{}\n", serde_json::to_string_pretty(&list).expect("JSON"))
+}
+
+fn is_out(sidecar: &Sidecar, endpoints: u64) {
+    awaits(&format!("{endpoints} are out"), || sidecar.figure("members_unavailable") == Some(endpoints));
+}
+
+/// Guards the reading of lists: indented, two in a piece, or one in many; what is whole counts at once, though half of
+/// the next has come with it, and half a list counts for nothing.
+#[test]
+fn a_list_may_be_indented_and_come_in_pieces() {
+    let endpoints = [0, 1, 2].map(|_| Endpoint::start(|_| ok("")));
+    let discovery = Calls::start();
+    let sidecar = over(&discovery, &[&endpoints[0], &endpoints[1], &endpoints[2]]);
+    let mut watch = discovery.next();
+    assert!(watch.follows(41), "{}", watch.asked);
+    watch.writes(HEAD);
+    let drains = |n: usize, index| {
+        indented(index, false, &[entry(&format!("e{n}"), endpoints[n].address, "DRAINING")])
+    };
+    let (first, second, third) = (drains(0, 42), drains(1, 43), drains(2, 44));
+    let (half, rest) = second.split_at(second.len() / 2);
+    watch.chunk(&format!("\n{first}{half}"));
+    is_out(&sidecar, 1);
+    let (most, end) = rest.split_at(rest.rfind('}').expect("its end"));
+    for piece in most.as_bytes().chunks(7) {
+        watch.chunk(std::str::from_utf8(piece).expect("text"));
+    }
+    // The sidecar has read this far when it answers a call that comes later.
+    assert_eq!(sidecar.figure("members_unavailable"), Some(1));
+    watch.chunk(end);
+    is_out(&sidecar, 2);
+    watch.chunk(&third);
+    is_out(&sidecar, 3);
+    drop(watch);
+    assert!(discovery.next().follows(44), "and no watch was lost by it");
+}
+
+/// Guards the watch against each way to go wrong, with the next call going wrong too, and against a drain told with the
+/// first word of a discovery that is back.
+#[test]
+fn a_watch_is_opened_anew_whatever_became_of_it_and_of_the_next() {
+    let endpoints = [0, 1].map(|_| Endpoint::start(|_| ok("")));
+    let discovery = Calls::start();
+    let sidecar = over(&discovery, &[&endpoints[0], &endpoints[1]]);
+    let spoilt = [
+        "{\"index\":50,\"snapshot\":false,\"endpoints\":[{\"name\":\"e0\"\n{\"index\":51,\"snapshot\":true,\"endpoints\":[]}\n",
+        "no JSON\n",
+        "{\"index\":50}\n",
+        "]}",
+    ];
+    for text in spoilt {
+        let mut watch = discovery.next();
+        assert!(watch.follows(41), "{text}: {}", watch.asked);
+        watch.writes(HEAD);
+        watch.chunk(text);
+        // Held open, so that nothing but the text ends it.
+        let mut next = discovery.next();
+        assert!(next.follows(41), "{text}: {}", next.asked);
+        next.writes("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+    }
+    discovery.next().is_reset();
+    drop(discovery.next());
+    let mut cut = discovery.next();
+    cut.writes(HEAD);
+    cut.writes("40\r\n{\"index\":");
+    drop(cut);
+    let mut ended = discovery.next();
+    ended.writes(&format!("{HEAD}0\r\n\r\n"));
+    let mut open = discovery.next();
+    open.writes(HEAD);
+    let silent = open; // neither says a word from here on
+    let hangs = discovery.next();
+    let mut back = discovery.next();
+    assert!(back.follows(41), "{}", back.asked);
+    back.writes(HEAD);
+    back.chunk(&format!("{}\n", list(60, false, &[entry("e0", endpoints[0].address, "DRAINING")])));
+    is_out(&sidecar, 1);
+    drop((silent, hangs));
+    for _ in 0..20 {
+        assert_eq!(sidecar.client().ask(&get("5")).status(), 200);
+    }
+    assert_eq!(endpoints[0].requests(), 0);
+}
+
+/// Guards a newer list against an older one: word of changes that comes late, or the whole list of a discovery that lags
+/// behind, takes nothing back, and the watch is opened anew. One that tells it again was set back, and is believed, but
+/// what was told to drain goes on draining.
+#[test]
+fn an_older_list_after_a_newer_one_takes_nothing_back() {
+    let endpoints = [0, 1, 2].map(|_| Endpoint::start(|_| ok("")));
+    let discovery = Calls::start();
+    let sidecar = over(&discovery, &[&endpoints[0], &endpoints[1], &endpoints[2]]);
+    let all = serving(&[&endpoints[0], &endpoints[1], &endpoints[2]]);
+    let mut newer = all.clone();
+    newer[0]["status"] = json!("DRAINING");
+    newer.truncate(2); // the third is gone
+    let mut watch = discovery.next();
+    watch.writes(HEAD);
+    watch.chunk(&format!("{}\n", list(50, true, &newer)));
+    is_out(&sidecar, 1);
+    watch.chunk(&format!("{}\n", list(45, false, &all)));
+    let mut lags = discovery.next();
+    assert!(lags.follows(50), "{}", lags.asked);
+    lags.writes(HEAD);
+    // Word of what has changed since is not older, and the whole list again is.
+    lags.chunk(&format!("{}\n", list(50, false, &[])));
+    lags.chunk(&format!("{}\n", list(44, true, &all)));
+    let mut set_back = discovery.next();
+    assert!(set_back.follows(50), "{}", set_back.asked);
+    assert_eq!(sidecar.figure("members"), Some(2));
+    is_out(&sidecar, 1);
+    set_back.writes(HEAD);
+    set_back.chunk(&format!("{}\n", list(44, true, &all)));
+    awaits("it is believed", || sidecar.figure("members") == Some(3));
+    is_out(&sidecar, 1);
+    drop(set_back);
+    assert!(discovery.next().follows(44));
+}
