--- a/tests/sidecar/leaving.rs
+++ b/tests/sidecar/leaving.rs
@@ -4,7 +4,7 @@
 use serde_json::{Value, json};
 use socket2::SockRef;
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 use std::time::Duration;
 
 /// How a client leaves, and what it has written behind its request by then.
@@ -215,3 +215,163 @@
     assert!(stays.is_served());
     assert_eq!(holds.saw(), [id(&request)]);
 }
+
+/// An endpoint whose connections come up late: its backlog is full until the test takes from it.
+struct Late {
+    listener: TcpListener,
+    fillers: Vec<TcpStream>,
+}
+
+impl Late {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(300));
+        let fillers = std::iter::from_fn(|| fill().ok()).collect();
+        Late { listener, fillers }
+    }
+
+    fn entry(&self) -> Value {
+        entry("late", self.listener.local_addr().expect("an address"), "SERVING")
+    }
+
+    /// The next connection of the sidecar's that comes up.
+    fn next(&self) -> TcpStream {
+        let ours: Vec<_> = self.fillers.iter().map(|f| f.local_addr().expect("an address")).collect();
+        loop {
+            let (stream, peer) = self.listener.accept().expect("a connection");
+            if !ours.contains(&peer) {
+                stream.set_read_timeout(Some(LONG)).expect("a time-out");
+                return stream;
+            }
+        }
+    }
+}
+
+/// Guards attempts whose connection comes up late: nothing is written once the client has left, whether or not attempts
+/// may be called off, and the neighbour's goes on.
+#[test]
+fn nothing_is_written_to_a_connection_that_comes_up_after_the_client_has_left() {
+    for cancel in [true, false] {
+        let late = Late::start();
+        let discovery = Discovery::start();
+        let mut config = with_admin(config(discovery.address, &[late.entry()]));
+        config["settings"]["bounds"]["cancel"] = json!(cancel);
+        config["settings"]["bounds"]["connectTimeoutNs"] = json!(15_000_000_000u64);
+        let sidecar = Sidecar::start(&config);
+        let pending = |n| awaits(&format!("{n} pending"), || sidecar.figure("pending") == Some(n));
+        let leave: Vec<_> = WAYS.into_iter().map(|how| (how, Waits::with(&sidecar, &get("10")))).collect();
+        let request = get("10");
+        let stays = Waits::with(&sidecar, &request);
+        pending(9);
+        leave.into_iter().for_each(|(how, client)| client.leaves(how));
+        pending(1);
+        // Those that were given up come up too where nothing may be called off, with nothing written on them.
+        let mut written = String::new();
+        while written.is_empty() {
+            let mut from_sidecar = late.next();
+            let mut bytes = [0; 4096];
+            let n = from_sidecar.read(&mut bytes).unwrap_or(0);
+            written = String::from_utf8_lossy(&bytes[..n]).into_owned();
+        }
+        assert!(written.contains(&format!("X-Request-Id: {}\r\n", id(&request)).to_lowercase()), "{written}");
+        late.listener.set_nonblocking(true).expect("an option");
+        let ours: Vec<_> = late.fillers.iter().map(|f| f.local_addr().expect("an address")).collect();
+        std::thread::sleep(Duration::from_secs(3)); // a connection is asked for again after 1 s and 2 s
+        while let Ok((mut stream, peer)) = late.listener.accept() {
+            stream.set_nonblocking(true).expect("an option");
+            let read = stream.read(&mut [0; 64]);
+            assert!(ours.contains(&peer) || !matches!(read, Ok(1..)), "something is written to {peer}");
+        }
+        assert_eq!(sidecar.figure("upstream_requests"), Some(1));
+        drop(stays);
+        pending(0);
+    }
+}
+
+/// Guards the hold before a retry: a request that failed once waits for another endpoint, and its client leaves then.
+#[test]
+fn a_retry_that_waits_is_not_sent_once_the_client_has_left() {
+    let fails = Endpoint::start(|message| match message.header("x-class") {
+        Some("safe") => Does::Answers("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n".into()),
+        _ => ok("x"),
+    });
+    let mut holds = Holds::with(|config| {
+        config["known"]["endpoints"] = json!(serving(&[&fails]));
+    });
+    // The module grants a retry for so many requests.
+    let mut earns = holds.sidecar.client();
+    for _ in 0..20 {
+        assert_eq!(earns.ask(&post("unsafe", "10", "x")).status(), 200);
+        fails.next_request();
+    }
+    for how in [Leaves::ByItsEnd(Behind::AWholeRequest), Leaves::ByReset(Behind::Nothing)] {
+        let request = get("60");
+        let client = Waits::with(&holds.sidecar, &request);
+        assert_eq!(fails.next_request().1.header("x-request-id"), Some(&*id(&request)));
+        // It has ended there when what is asked later is answered, and waits for a place that has not failed it.
+        holds.has_pending(1);
+        client.leaves(how);
+        holds.has_pending(0);
+    }
+    let names = [("e0", &fails), ("other", &holds.endpoint)];
+    let all: Vec<Value> = names.iter().map(|(n, e)| entry(n, e.address, "SERVING")).collect();
+    holds.watch.write_line(&list(42, false, &all));
+    holds.awaits("the other is listed", |sidecar| sidecar.figure("members") == Some(2));
+    let mut neighbour = Waits::with(&holds.sidecar, &get("60"));
+    assert!(neighbour.is_served(), "a retry goes there");
+    assert_eq!(holds.saw().len(), 1, "and nothing else did");
+}
+
+/// Guards the waits that go on over the end of a process: a drain by hand, a stop, and an upgrade by which another process
+/// serves meanwhile. Who stays is served, who leaves is not sent on.
+#[test]
+fn a_held_request_whose_client_leaves_is_not_sent_over_a_drain_or_a_stop() {
+    for word in ["DRAIN", "TERM", "upgrade"] {
+        let folder = folder();
+        let discovery = Discovery::start();
+        let endpoint = Endpoint::start(|_| ok("x"));
+        let late = Late::start();
+        let mut config = with_admin(config(discovery.address, &[late.entry()]));
+        config["settings"]["bounds"]["connectTimeoutNs"] = json!(15_000_000_000u64);
+        let sidecar = Sidecar::start_in(&folder, &config);
+        let pending = |n| awaits(&format!("{word}: {n} pending"), || sidecar.figure("pending") == Some(n));
+        let request = get("10");
+        let stays = Waits::with(&sidecar, &request);
+        let leave: Vec<_> = WAYS.into_iter().map(|how| (how, Waits::with(&sidecar, &get("10")))).collect();
+        pending(9);
+        let next = match word {
+            "DRAIN" => {
+                assert!(sidecar.says_yes("DRAIN"));
+                None
+            }
+            "TERM" => {
+                sidecar.terminate();
+                awaits("it stops", || !sidecar.says_yes("READY"));
+                None
+            }
+            _ => {
+                let mut config = with_admin(crate::stubs::config(discovery.address, &serving(&[&endpoint])));
+                config["listen"] = json!(sidecar.address.to_string());
+                let next = Sidecar::start_in(&folder, &config);
+                sidecar.awaits_log("callers go over to the process after");
+                Some(next)
+            }
+        };
+        leave.into_iter().for_each(|(how, client)| client.leaves(how));
+        pending(1);
+        loop {
+            let mut bytes = [0; 4096];
+            let n = late.next().read(&mut bytes).unwrap_or(0);
+            let written = String::from_utf8_lossy(&bytes[..n]).into_owned();
+            if n > 0 {
+                assert!(written.contains(&id(&request)), "{word}: {written}");
+                break;
+            }
+        }
+        assert_eq!(sidecar.figure("upstream_requests"), Some(1), "{word}");
+        assert_eq!(next.map_or(0, |next| next.figure("upstream_requests").expect("a figure")), 0);
+        drop(stays);
+        let _ = std::fs::remove_dir_all(folder);
+    }
+}
