--- a/src/bin/rowanway/endpoints.rs
+++ b/src/bin/rowanway/endpoints.rs
@@ -37,9 +37,10 @@
 /// written to is a reset, which loses an unsafe request.
 const IDLE_PART: f64 = 0.7;
 
-/// An endpoint may close a connection just after an answer, or answer once more: used again at once, the connection would
-/// bring that to the next request. What comes within this time is seen while nobody has it.
-const SETTLES: Duration = Duration::from_millis(100);
+/// An endpoint may close a connection just after an answer, or answer once more, which was seen to come up to 4 ms later:
+/// used again at once, the connection would bring that to the next request. What comes within this time is seen while
+/// nobody has it. Longer costs more connections, of which some come up late.
+const SETTLES: Duration = Duration::from_millis(20);
 
 /// What of an answer may stand unread in a connection's buffer, and so the longest head.
 const READ_BUFFER: usize = 16 << 10;
@@ -502,9 +503,7 @@
 
 struct Idle {
     link: Link,
-    /// Not used before.
-    settled: Instant,
-    until: Instant,
+    since: Instant,
 }
 
 impl Pool {
@@ -513,7 +512,7 @@
         Pool { descriptors, connect_timeout, keep, idle: HashMap::new(), swept: false, most: MOST_KEPT }
     }
 
-    /// Goes on with other limits; what is idle keeps the time that it was given.
+    /// Goes on with other limits, which hold for what is idle too.
     pub fn retune(&mut self, limits: &Limits) {
         (self.keep, self.connect_timeout) = (limits.idle_close.mul_f64(IDLE_PART), limits.connect_timeout);
     }
@@ -521,9 +520,9 @@
     fn take(&mut self, endpoint: &EndpointId) -> Option<Link> {
         let idle = self.idle.get_mut(endpoint)?;
         let now = Instant::now();
-        while let Some(last) = idle.iter().rposition(|i| i.settled <= now) {
-            let Idle { link, until, .. } = idle.remove(last);
-            if now < until && link.is_clean() {
+        while let Some(last) = idle.iter().rposition(|i| now >= i.since + SETTLES) {
+            let Idle { link, since } = idle.remove(last);
+            if now < since + self.keep && link.is_clean() {
                 return Some(link);
             }
         }
@@ -536,8 +535,7 @@
         if link.sender.is_closed() || !link.wire.is_written() || kept.len() >= self.most {
             return false;
         }
-        let now = Instant::now();
-        kept.push(Idle { link, settled: now + SETTLES, until: now + self.keep });
+        kept.push(Idle { link, since: Instant::now() });
         !std::mem::replace(&mut self.swept, true)
     }
 
@@ -555,8 +553,8 @@
 
     /// Closes the connection that has been idle longest; false where none is.
     pub fn close_oldest(&mut self) -> bool {
-        let oldest = self.idle.iter().filter_map(|(e, idle)| Some((idle.first()?.until, e)));
-        let Some(endpoint) = oldest.min_by_key(|(until, _)| *until).map(|(_, e)| e.clone()) else {
+        let oldest = self.idle.iter().filter_map(|(e, idle)| Some((idle.first()?.since, e)));
+        let Some(endpoint) = oldest.min_by_key(|(since, _)| *since).map(|(_, e)| e.clone()) else {
             return false;
         };
         self.idle.get_mut(&endpoint).is_some_and(|idle| !idle.drain(..1).as_slice().is_empty())
@@ -566,10 +564,10 @@
     fn sweep(&mut self) -> Option<Instant> {
         let now = Instant::now();
         self.idle.retain(|_, idle| {
-            idle.retain(|i| now < i.until && !i.link.sender.is_closed());
+            idle.retain(|i| now < i.since + self.keep && !i.link.sender.is_closed());
             !idle.is_empty()
         });
-        let next = self.idle.values().filter_map(|idle| idle.first()).map(|i| i.until).min();
+        let next = self.idle.values().filter_map(|idle| idle.first()).map(|i| i.since + self.keep).min();
         self.swept = next.is_some();
         next
     }
