Test two unlike sets of settings, and a SIGHUP from each to the other

Seen (reading, `Pool::retune`): idle connections kept the time that the limits before gave them, so that after a move to an endpoint's shorter idle time a request could meet its close. Nothing else of the first set was found left: classes, effects, deadlines, tenants, keys, Retry-After and the list of classes are asked for from the outside.

--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -5,6 +5,7 @@
 mod bulk;
 mod callers;
 mod churn;
+mod customers;
 mod drains;
 mod leaving;
 mod reload;
