--- a/src/choice.rs
+++ b/src/choice.rs
@@ -38,8 +38,8 @@
 /// Price of a crossing between zones from which a copy keeps to its own: zones have uneven numbers of copies
 /// for their endpoints, and an even deal over the whole tier is worth about two crossings of this price.
 const DEAR_CROSSING: f64 = 0.01;
-/// However long a copy may go without asking, a lost subscription is asked for again as if it were this: what it
-/// misses counts as told 6 s after it fell silent, most of which have passed when that is noticed.
+/// However long a copy may go without asking, a lost subscription is asked for again as if it were this:
+/// what it misses counts as told 6 s after it fell silent, most of which have passed when that is noticed.
 const SILENCE_COUNTS: Duration = Duration::from_secs(10);
 /// Weight of one answer in an endpoint's stretch and faults, and of one in a class's usual time.
 const ENDPOINT_WEIGHT: f64 = 0.3;
--- a/tests/sidecar/watches.rs
+++ b/tests/sidecar/watches.rs
@@ -56,7 +56,7 @@
         self.writes(&format!("{:x}\r\n{text}\r\n", text.len()));
     }
 
-    fn is_reset(self) {
+    fn resets(self) {
         SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).expect("an option");
     }
 }
@@ -128,7 +128,7 @@
         assert!(next.follows(41), "{text}: {}", next.asked);
         next.writes("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
     }
-    discovery.next().is_reset();
+    discovery.next().resets();
     drop(discovery.next());
     let mut cut = discovery.next();
     cut.writes(HEAD);
