Take over what a process that died was told last of endpoints taken out

Seen (reading, pair "ban told, process dies"): the operators' call is answered and the file of bans written before the word goes to the other process of an upgrade; that one has read the file at its start. If the process that was told dies in between, the other never hears, and sends to an endpoint that is out. At fault: src/bin/rowanway/upgrade.rs, `part`. The file is read again when the other process is gone, and what is out there is out here; nothing is taken back by it, as either process may have written it last.

--- a/src/bin/rowanway/upgrade.rs
+++ b/src/bin/rowanway/upgrade.rs
@@ -306,11 +306,18 @@
         words
     }
 
-    /// The other process is gone, and all that it held.
+    /// The other process is gone, and all that it held. What it was told last it may have kept, but not passed on.
     fn part(&self) {
         let mut node = self.borrow();
         node.twin = None;
         node.pool.descriptors.others_hold(None);
+        let kept = node.folder.as_ref().map(|folder| folder.bans()).unwrap_or_default();
+        drop(node);
+        for endpoint in kept.iter().map(|e| e.as_str().into()) {
+            if !self.borrow().is_banned(&endpoint) {
+                self.banned(endpoint, true);
+            }
+        }
     }
 
     fn hear(&self, word: Word) {
