Answer what waits in the backlog, or was just let in, when connections close at a stop

Seen (probe: tests/sidecar/crossings.rs; the program stands still over the last step of a stop while 12 callers connect and ask): all but one were reset with the listener, and that one closed unread: "left: None, right: Some(200)". Causes: `serve` drops the listener when the time is up, whatever its backlog holds (the runtime hears of it later, and a poll says nothing: the probe logged no connection got that way); and `stop` closes a connection that was just let in as one between requests, before its first read. At fault: src/bin/rowanway/main.rs `serve`, src/bin/rowanway/server.rs `Connection::serve`. Now the backlog is emptied by the socket's own word, and a connection with bytes unread answers them first. Ruled out: the steps before, as each begins anew after a stall.

--- a/src/bin/rowanway/main.rs
+++ b/src/bin/rowanway/main.rs
@@ -124,7 +124,9 @@
     node.borrow().callers.stop();
     // It never ends by itself, so this only ever times out.
     let _ = timeout(STILL_COMING, server::accept(node.clone(), &listener)).await;
-    drop(listener);
+    if !node.borrow().callers.are_let_in_elsewhere() {
+        server::accept_last(node, listener);
+    }
     let gone = {
         let mut node = node.borrow();
         node.callers.stop(); // also those that have come since
--- a/src/bin/rowanway/server.rs
+++ b/src/bin/rowanway/server.rs
@@ -184,9 +184,14 @@
         self.gone_over.send_replace(false) && !self.stopping
     }
 
+    /// Whether another process lets callers in.
+    pub fn are_let_in_elsewhere(&self) -> bool {
+        *self.gone_over.borrow()
+    }
+
     /// Whether a connection closes with its answer, so that its caller comes again elsewhere.
     fn are_sent_away(&self) -> bool {
-        *self.gone_over.borrow() || matches!(self.drain, Some(Drain::Leaving | Drain::Empty))
+        self.are_let_in_elsewhere() || matches!(self.drain, Some(Drain::Leaving | Drain::Empty))
     }
 
     pub fn are_gone(&self) -> bool {
@@ -237,6 +242,19 @@
     }
 }
 
+/// Lets in what waits in the kernel's backlog, and closes the listener: with a connection there it would be reset, and a
+/// request that has come on it lost. The socket is asked, as the runtime hears of it later.
+pub fn accept_last(node: &Handle, listener: TcpListener) {
+    let Ok(listener) = listener.into_std() else { return };
+    while let Ok((stream, _)) = listener.accept() {
+        if stream.set_nonblocking(true).is_ok()
+            && let Ok(stream) = TcpStream::from_std(stream)
+        {
+            start(node, stream);
+        }
+    }
+}
+
 fn start(node: &Handle, stream: TcpStream) {
     let mut guard = node.borrow();
     let Node { callers, pool, .. } = &mut *guard;
@@ -303,6 +321,10 @@
                         break;
                     }
                     () = close.notified() => match traffic.head_since.get() {
+                        // One that was just let in has not been read yet; what has come on it counts as taken.
+                        None if !traffic.closed_idle.get() && sockets::has_unread(&stream) => {
+                            traffic.last.set(true);
+                        }
                         None => connection.as_mut().graceful_shutdown(),
                         Some(_) if traffic.closed_idle.get() => break,
                         // Its request is on the way, and is answered.
--- a/src/bin/rowanway/sockets.rs
+++ b/src/bin/rowanway/sockets.rs
@@ -2,6 +2,7 @@
 
 use socket2::SockRef;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::task::{Context, Poll, ready};
 use tokio::io::ReadBuf;
@@ -35,6 +36,11 @@
     }
 }
 
+/// Whether something has come that was not read. The socket is asked, as the runtime hears of it later.
+pub fn has_unread(stream: &TcpStream) -> bool {
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]).is_ok_and(|n| n > 0)
+}
+
 /// Tells the other side that nothing more comes.
 pub fn end(stream: &TcpStream) -> io::Result<()> {
     SockRef::from(stream).shutdown(Shutdown::Write)
--- /dev/null
+++ b/tests/sidecar/crossings.rs
@@ -0,0 +1,341 @@
+//! Pairs of events that may come in either order, in the one that is not the usual. `docs/crossings.md` lists them.
+//!
+//! The order is forced: a stub stops at a step and goes on when told, or the program stands still while all comes.
+
+use crate::stubs::*;
+use serde_json::{Value, json};
+use socket2::SockRef;
+use std::io::{BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
+use std::sync::Mutex;
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::Duration;
+
+const READY: &str = "GET /ready HTTP/1.1\r\nHost: s\r\n\r\n";
+
+/// An endpoint that writes what the test says when it says so, on the connection of the request that is next.
+struct Told {
+    endpoint: Endpoint,
+    tell: Sender<Does>,
+}
+
+impl Told {
+    fn start() -> Self {
+        let (tell, told): (_, Receiver<Does>) = channel();
+        let told = Mutex::new(told);
+        let endpoint =
+            Endpoint::start(move |_| told.lock().expect("the only one").recv().unwrap_or(Does::Hangs));
+        Told { endpoint, tell }
+    }
+
+    fn does(&self, what: Does) {
+        self.tell.send(what).expect("it waits");
+    }
+}
+
+/// A sidecar with a short longest deadline, so that a stop has short steps.
+fn brief(discovery: &Discovery, endpoints: &[&Endpoint], deadline: Duration) -> Value {
+    let mut config = with_admin(config(discovery.address, &serving(endpoints)));
+    for class in config["settings"]["categories"].as_array_mut().expect("a list") {
+        class["objectiveNs"] = json!(deadline.as_nanos() as u64);
+        class["hardLimitNs"] = json!(deadline.as_nanos() as u64);
+    }
+    config
+}
+
+// ---- Shutdown --------------------------------------------------------------------------------------------
+
+/// Guards SIGTERM against requests half read: what has come in part by the time that connections close is answered once
+/// it has come whole, and a second SIGTERM, a DRAIN and its end in between change nothing.
+#[test]
+fn a_stop_waits_for_requests_that_are_half_read() {
+    let endpoint = Endpoint::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let mut sidecar = Sidecar::start(&brief(&discovery, &[&endpoint], Duration::from_secs(1)));
+    let mut idle = sidecar.client();
+    assert_eq!(idle.ask(READY).status(), 200);
+    let requests = [get("1"), post("unsafe", "1", "hello")];
+    let mut half: Vec<(Client, &str)> = Vec::new();
+    sidecar.terminate();
+    awaits("it stops", || sidecar.client().ask(READY).status() == 503);
+    for (request, at) in requests.iter().zip([20, requests[1].len() - 3]) {
+        let mut client = sidecar.client();
+        client.write(&request[..at]);
+        half.push((client, &request[at..]));
+    }
+    sidecar.terminate();
+    assert!(sidecar.says_yes("DRAIN") && !sidecar.says_yes("READY"));
+    assert!(sidecar.says_yes("UNDRAIN") && !sidecar.says_yes("READY"), "it stops all the same");
+    assert!(idle.is_closed(), "connections between requests close");
+    for (client, rest) in &mut half {
+        client.write(rest);
+        assert_eq!(client.read().expect("an answer").status(), 200);
+        assert!(client.is_closed());
+    }
+    assert!(sidecar.wait().success());
+}
+
+/// Guards the listener's end: what stands in the kernel's backlog by then is let in and answered, not reset.
+#[test]
+fn a_stop_answers_what_waits_in_the_backlog_as_the_listener_closes() {
+    let endpoint = Endpoint::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let mut sidecar = Sidecar::start(&brief(&discovery, &[&endpoint], Duration::from_secs(3)));
+    let mut idle = sidecar.client();
+    assert_eq!(idle.ask(READY).status(), 200);
+    sidecar.terminate();
+    assert!(idle.is_closed(), "the last step before has begun");
+    sidecar.freezes();
+    let mut late: Vec<Client> = (0..12)
+        .map(|_| {
+            let mut client = sidecar.client();
+            client.write(&get("3"));
+            client
+        })
+        .collect();
+    std::thread::sleep(Duration::from_millis(900)); // past the last step
+    sidecar.thaws();
+    for client in &mut late {
+        // Served, or refused as the time in which all has to be answered is over.
+        let answer = client.read().map(|answer| answer.status());
+        assert!(matches!(answer, Some(200 | 503)), "{answer:?} {:?}", sidecar.log());
+    }
+    assert!(sidecar.wait().success());
+}
+
+/// Guards SIGTERM against requests that are held, out, or wait for a retry: each gets its one answer. The process ends as
+/// soon as the last has.
+#[test]
+fn a_stop_answers_what_is_held_out_or_retried() {
+    let told = Told::start();
+    let (discovery, other) = (Discovery::start(), Endpoint::start(|_| ok("other")));
+    let mut sidecar = Sidecar::start(&brief(&discovery, &[&told.endpoint], Duration::from_secs(10)));
+    let mut watch = discovery.next_watch();
+    let mut client = sidecar.client();
+    // The module grants a retry for so many requests.
+    for _ in 0..10 {
+        client.write(&get("5"));
+        told.does(ok("x"));
+        assert_eq!(client.read().expect("an answer").status(), 200);
+    }
+    told.endpoint.messages();
+    let ask = |request: String| {
+        let mut client = sidecar.client();
+        client.write(&request);
+        client
+    };
+    let mut retried = ask(get("9"));
+    told.endpoint.next_request();
+    let mut out = ask(post("unsafe", "9", "x"));
+    told.endpoint.next_request();
+    watch.write_line(&list(42, false, &[entry("e0", told.endpoint.address, "DRAINING")]));
+    awaits("it drains", || sidecar.figure("members_unavailable") == Some(1));
+    let mut held = ask(get("9"));
+    awaits("all are there", || sidecar.figure("pending") == Some(3));
+    sidecar.terminate();
+    awaits("it stops", || !sidecar.says_yes("READY"));
+    told.does(Does::Answers("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n".into()));
+    told.does(ok("out"));
+    watch.write_line(&list(43, false, &[entry("e1", other.address, "SERVING")]));
+    // Which of the two the stub answers first is the stub's; both are known by their class.
+    for (client, bodies) in
+        [(&mut retried, ["other", "out"]), (&mut out, ["out", ""]), (&mut held, ["other", "other"])]
+    {
+        let answer = client.read().expect("an answer");
+        let body = String::from_utf8(answer.body.clone()).expect("text");
+        assert!(bodies.contains(&body.as_str()), "{} {body}", answer.status());
+    }
+    drop((retried, out, held, client));
+    assert!(sidecar.wait().success());
+}
+
+// ---- Retries ---------------------------------------------------------------------------------------------
+
+/// An endpoint whose every connection the test writes and ends itself.
+fn raw() -> (TcpListener, Value) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let known = entry("raw", listener.local_addr().expect("an address"), "SERVING");
+    (listener, known)
+}
+
+fn asked(listener: &TcpListener) -> (Message, TcpStream) {
+    let (stream, _) = listener.accept().expect("a connection");
+    let mut reader = BufReader::new(stream);
+    let message = read_message(&mut reader).expect("a request");
+    (message, reader.into_inner())
+}
+
+fn resets(stream: TcpStream) {
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("an option");
+}
+
+/// Guards a reset against the answer that came before it: what is whole is served, what is not has failed, and what must
+/// not run twice is sent once either way.
+#[test]
+fn a_reset_right_behind_an_answer_takes_nothing_from_it() {
+    let whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+    for (text, status) in [(whole, 200), (&whole[..whole.len() - 1], 502), ("", 502)] {
+        let (listener, known) = raw();
+        let discovery = Discovery::start();
+        let sidecar = Sidecar::start(&with_admin(config(discovery.address, &[known])));
+        let mut client = sidecar.client();
+        client.write(&post("unsafe", "9", "x"));
+        let (_, mut stream) = asked(&listener);
+        sidecar.freezes();
+        stream.write_all(text.as_bytes()).expect("it is open");
+        resets(stream);
+        sidecar.thaws();
+        assert_eq!(client.read().expect("an answer").status(), status, "{text}");
+        assert_eq!(sidecar.figure("upstream_requests"), Some(1));
+        assert_eq!(sidecar.figure("pending"), Some(0));
+    }
+}
+
+/// Guards the time-out against an answer that has come by then: one of them is the end, the client gets one answer, and
+/// nothing is sent again. The connection that was given up carries nothing more.
+#[test]
+fn a_time_out_and_the_answer_at_once_are_one_end() {
+    let (listener, known) = raw();
+    let discovery = Discovery::start();
+    let mut config = brief(&discovery, &[], Duration::from_secs(1));
+    config["known"]["endpoints"] = json!([known]);
+    let sidecar = Sidecar::start(&config);
+    let mut client = sidecar.client();
+    client.write(&post("unsafe", "1", "x"));
+    let (_, mut stream) = asked(&listener);
+    sidecar.freezes();
+    stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok").expect("it is open");
+    std::thread::sleep(Duration::from_millis(1_200));
+    sidecar.thaws();
+    let answer = client.read().expect("an answer");
+    assert!(matches!(answer.status(), 200 | 504), "{}", answer.status());
+    assert_eq!(client.ask(READY).status(), 200, "the next answer is the next request's");
+    awaits("it is over", || sidecar.figure("pending") == Some(0));
+    assert_eq!(sidecar.figure("upstream_requests"), Some(1));
+    let ends: u64 = ["completed", "failed"].iter().filter_map(|how| sidecar.ended(how, "unsafe")).sum();
+    assert_eq!(ends, 1);
+}
+
+/// Guards an attempt that is out against a new effect from SIGHUP: a request keeps the class that it came with, so that one
+/// that must not run twice is not sent again because others of its name now may.
+#[test]
+fn a_new_effect_does_not_reach_an_attempt_that_is_out() {
+    let (told, other) = (Told::start(), Endpoint::start(|_| ok("other")));
+    let discovery = Discovery::start();
+    let mut config = with_admin(config(discovery.address, &serving(&[&told.endpoint])));
+    let path = file(&config.to_string());
+    let sidecar = Sidecar::start_with(&path);
+    let mut watch = discovery.next_watch();
+    let mut client = sidecar.client();
+    // The module grants a retry for so many requests.
+    for _ in 0..10 {
+        client.write(&get("5"));
+        told.does(ok("x"));
+        assert_eq!(client.read().expect("an answer").status(), 200);
+        told.endpoint.next_request();
+    }
+    client.write(&post("unsafe", "9", "x"));
+    told.endpoint.next_request();
+    watch.write_line(&list(42, true, &serving(&[&told.endpoint, &other])));
+    awaits("the other is listed", || sidecar.figure("members") == Some(2));
+    config["settings"]["categories"][1]["effect"] = json!("free");
+    std::fs::write(&path, config.to_string()).expect("the file is written");
+    sidecar.signal("HUP");
+    awaits("it is taken", || sidecar.figure("config_reloads") == Some(1));
+    told.does(Does::Answers("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n".into()));
+    assert_eq!(client.read().expect("an answer").status(), 502);
+    assert_eq!(other.requests(), 0, "it is not sent again");
+    std::fs::remove_file(path).expect("the file goes");
+}
+
+// ---- Idle connections ------------------------------------------------------------------------------------
+
+/// Guards the close that makes room against the request that is on its way: each caller gets its answer whole, or a close
+/// with nothing on it, and then its request was not sent on.
+#[test]
+fn a_close_to_make_room_and_the_next_request_do_not_cross() {
+    let endpoint = Endpoint::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &serving(&[&endpoint]));
+    config["limits"]["sockets"] = json!(64);
+    let sidecar = Sidecar::start(&config);
+    let mut idle: Vec<Client> = (0..16).map(|_| sidecar.client()).collect();
+    idle.iter_mut().for_each(|client| assert_eq!(client.ask(READY).status(), 200));
+    sidecar.freezes();
+    let mut new: Vec<TcpStream> =
+        (0..24).map(|_| TcpStream::connect(sidecar.address).expect("the backlog has room")).collect();
+    let requests: Vec<String> = idle.iter().map(|_| get("9")).collect();
+    idle.iter_mut().zip(&requests).for_each(|(client, request)| client.write(request));
+    sidecar.thaws();
+    let mut answered = 0;
+    for client in &mut idle {
+        match client.read() {
+            Some(answer) => {
+                assert_eq!(answer.status(), 200);
+                answered += 1;
+            }
+            None => assert!(client.is_closed(), "nothing of an answer came"),
+        }
+    }
+    assert_eq!(endpoint.requests(), answered, "what was closed on was not sent on");
+    for stream in &mut new {
+        let _ = stream.write_all(b"x");
+    }
+}
+
+// ---- Hand-overs ------------------------------------------------------------------------------------------
+
+/// Guards bans against the death of the process that was told: it keeps the word before it says yes, and dies before it
+/// has passed it on. The test is that process.
+#[test]
+fn a_ban_outlives_the_process_that_was_told_and_died() {
+    let folder = folder();
+    let endpoints = [0, 1].map(|_| Endpoint::start(|_| ok("")));
+    let discovery = Discovery::start();
+    let sidecar = Sidecar::start_in(
+        &folder,
+        &with_admin(config(discovery.address, &serving(&[&endpoints[0], &endpoints[1]]))),
+    );
+    let socket = folder.join("rowanway.sock");
+    awaits("it offers to hand over", || socket.exists());
+    let newer = UnixStream::connect(&socket).expect("it hands over");
+    let mut byte = [0];
+    (&newer).read_exact(&mut byte).expect("the socket comes with a byte");
+    std::fs::write(folder.join("rowanway.bans"), "[\"e1\"]").expect("the word is kept");
+    assert_eq!(sidecar.figure("members_unavailable"), Some(0));
+    drop(newer);
+    awaits("it is taken out here too", || sidecar.figure("members_unavailable") == Some(1));
+    let mut client = sidecar.client();
+    for _ in 0..20 {
+        assert_eq!(client.ask(&get("5")).status(), 200);
+    }
+    assert_eq!(endpoints[1].requests(), 0);
+    std::fs::remove_dir_all(folder).expect("it goes");
+}
+
+/// Guards the end of a hold against its timer: a request that was sent on and answered meanwhile gets nothing more, and
+/// none is answered twice.
+#[test]
+fn the_timer_of_a_request_that_is_over_answers_nobody() {
+    let endpoint = Endpoint::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let mut config = with_admin(config(discovery.address, &[]));
+    config["settings"]["categories"][0]["objectiveNs"] = json!(2_000_000_000u64);
+    let sidecar = Sidecar::start(&config);
+    let mut watch = discovery.next_watch();
+    let (mut held, mut stays) = (sidecar.client(), sidecar.client());
+    held.write(&get("9"));
+    awaits("it is held", || sidecar.figure("pending") == Some(1));
+    watch.write_line(&list(42, false, &serving(&[&endpoint])));
+    assert_eq!(held.read().expect("an answer").status(), 200);
+    watch.write_line(&list(43, false, &[entry("e0", endpoint.address, "DELETED")]));
+    awaits("it is gone", || sidecar.figure("members") == Some(0));
+    stays.write(&get("9")); // its own hold ends after the first one's would have
+    assert_eq!(stays.read().expect("an answer").status(), 503);
+    assert_eq!(held.ask(READY).status(), 503, "nothing more came before");
+    assert_eq!(
+        ["completed", "rejected", "failed"].map(|how| sidecar.ended(how, "safe")),
+        [Some(1), Some(1), Some(0)]
+    );
+}
--- a/tests/sidecar/stubs.rs
+++ b/tests/sidecar/stubs.rs
@@ -466,6 +466,17 @@
         assert!(sent.expect("kill runs").success());
     }
 
+    /// Has it do nothing until [`Sidecar::thaws`], so that what comes meanwhile has all come at once.
+    pub fn freezes(&self) {
+        self.signal("STOP");
+        let stat = format!("/proc/{}/stat", self.child.id());
+        awaits("it stands", || std::fs::read_to_string(&stat).expect("it is there").contains(") T "));
+    }
+
+    pub fn thaws(&self) {
+        self.signal("CONT");
+    }
+
     /// What its open descriptors are.
     fn open_files(&self) -> Vec<String> {
         let held = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs");
