--- a/tests/sidecar/crossings.rs
+++ b/tests/sidecar/crossings.rs
@@ -314,28 +314,32 @@
     std::fs::remove_dir_all(folder).expect("it goes");
 }
 
-/// Guards the end of a hold against its timer: a request that was sent on and answered meanwhile gets nothing more, and
-/// none is answered twice.
+/// Guards the end of a hold against its timer: a request that was sent on meanwhile is the endpoint's to answer, and one
+/// that is over gets nothing more.
 #[test]
-fn the_timer_of_a_request_that_is_over_answers_nobody() {
-    let endpoint = Endpoint::start(|_| ok("x"));
+fn the_timer_of_a_hold_that_is_over_answers_nobody() {
+    let told = Told::start();
     let discovery = Discovery::start();
     let mut config = with_admin(config(discovery.address, &[]));
+    // Held for 2 s at the most, and worth waiting for longer.
     config["settings"]["categories"][0]["objectiveNs"] = json!(2_000_000_000u64);
+    config["settings"]["categories"][0]["lateShare"] = json!(0.5);
     let sidecar = Sidecar::start(&config);
     let mut watch = discovery.next_watch();
-    let (mut held, mut stays) = (sidecar.client(), sidecar.client());
-    held.write(&get("9"));
-    awaits("it is held", || sidecar.figure("pending") == Some(1));
-    watch.write_line(&list(42, false, &serving(&[&endpoint])));
-    assert_eq!(held.read().expect("an answer").status(), 200);
-    watch.write_line(&list(43, false, &[entry("e0", endpoint.address, "DELETED")]));
-    awaits("it is gone", || sidecar.figure("members") == Some(0));
-    stays.write(&get("9")); // its own hold ends after the first one's would have
-    assert_eq!(stays.read().expect("an answer").status(), 503);
-    assert_eq!(held.ask(READY).status(), 503, "nothing more came before");
-    assert_eq!(
-        ["completed", "rejected", "failed"].map(|how| sidecar.ended(how, "safe")),
-        [Some(1), Some(1), Some(0)]
-    );
+    let [mut over, mut out] = [0, 1].map(|n| {
+        let mut client = sidecar.client();
+        client.write(&get("9"));
+        awaits("it is held", || sidecar.figure("pending") == Some(n + 1));
+        client
+    });
+    watch.write_line(&list(42, false, &serving(&[&told.endpoint])));
+    told.endpoint.next_request();
+    told.does(ok("x"));
+    assert_eq!(over.read().expect("an answer").status(), 200);
+    std::thread::sleep(Duration::from_millis(2_500)); // both timers have fired
+    told.does(ok("x"));
+    assert_eq!(out.read().expect("an answer").status(), 200);
+    assert_eq!(over.ask(READY).status(), 200, "nothing more came before");
+    let ended = ["completed", "rejected", "failed"].map(|how| sidecar.ended(how, "safe"));
+    assert_eq!(ended, [Some(2), Some(0), Some(0)]);
 }
