--- a/tests/sidecar/crossings.rs
+++ b/tests/sidecar/crossings.rs
@@ -336,7 +336,10 @@
     told.endpoint.next_request();
     told.does(ok("x"));
     assert_eq!(over.read().expect("an answer").status(), 200);
-    std::thread::sleep(Duration::from_millis(2_500)); // both timers have fired
+    std::thread::sleep(Duration::from_millis(2_500)); // both holds are over
+    let drains = entry("e1", "127.0.0.1:1".parse().expect("an address"), "DRAINING");
+    watch.write_line(&list(43, false, &[drains]));
+    awaits("the module has looked at the time", || sidecar.figure("members") == Some(2));
     told.does(ok("x"));
     assert_eq!(out.read().expect("an answer").status(), 200);
     assert_eq!(over.ask(READY).status(), 200, "nothing more came before");
