--- a/tests/sidecar/upgrade.rs
+++ b/tests/sidecar/upgrade.rs
@@ -142,6 +142,26 @@
     assert_eq!(kept.ask(&get("5")).status(), 200, "it was between requests all the time");
 }
 
+/// Guards callers where the older process is told to stop before the newer one is ready: what comes in between waits for
+/// whichever lets it in, and each request gets its answer.
+#[test]
+fn a_stop_before_the_newer_process_is_ready_loses_no_request() {
+    let endpoint = Endpoint::start(|_| ok("x"));
+    let place = Place::over(&[&endpoint]);
+    let mut before = place.start(None);
+    place.speaks();
+    let next = place.start(Some(before.address));
+    assert!(!next.says_yes("READY"), "it listens to discovery, which says nothing");
+    before.terminate();
+    awaits("the newer one serves", || {
+        assert_eq!(before.client().ask(&get("9")).status(), 200);
+        next.ended("completed", "safe") > Some(0)
+    });
+    assert!(before.wait().success());
+    assert_eq!(next.client().ask(&get("9")).status(), 200);
+    next.awaits_log("the process before has ended");
+}
+
 /// Guards the start against whatever else lies in the folder, or at the other end of the socket there.
 #[test]
 fn what_is_no_process_before_does_not_matter() {
--- a/tests/sidecar/watches.rs
+++ b/tests/sidecar/watches.rs
@@ -186,3 +186,35 @@
     drop(set_back);
     assert!(discovery.next().follows(44));
 }
+
+/// Guards SIGHUP against a call that is out: discovery moves while the old one has yet to answer, and what that says once
+/// the new one has spoken is not taken.
+#[test]
+fn a_call_that_is_out_as_discovery_moves_tells_nothing_later() {
+    let endpoints = [0, 1].map(|_| Endpoint::start(|_| ok("")));
+    let (old, new) = (Calls::start(), Calls::start());
+    let all = serving(&[&endpoints[0], &endpoints[1]]);
+    let mut config = with_admin(config(old.address(), &all));
+    let path = file(&config.to_string());
+    let sidecar = Sidecar::start_with(&path);
+    let mut hangs = old.next();
+    config["discovery"] = json!(new.address().to_string());
+    std::fs::write(&path, config.to_string()).expect("the file is written");
+    sidecar.signal("HUP");
+    let mut whole = new.next();
+    assert!(whole.asked.starts_with("GET /v1/endpoints "), "{}", whole.asked);
+    let mut newer = all.clone();
+    newer[0]["status"] = json!("DRAINING");
+    let text = list(7, true, &newer);
+    whole.writes(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len()));
+    let _watch = new.next();
+    is_out(&sidecar, 1);
+    // By now it may be closed there.
+    let late = format!("{}\n", list(99, true, &all));
+    let _ = hangs.stream.write_all(format!("{HEAD}{:x}\r\n{late}\r\n", late.len()).as_bytes());
+    for _ in 0..20 {
+        assert_eq!(sidecar.client().ask(&get("5")).status(), 200);
+    }
+    assert_eq!((endpoints[0].requests(), sidecar.figure("members_unavailable")), (0, Some(1)));
+    std::fs::remove_file(path).expect("the file goes");
+}
