--- a/tests/sidecar/upgrade.rs
+++ b/tests/sidecar/upgrade.rs
@@ -215,4 +215,6 @@
     awaits("the rest is turned away", || next.ended("rejected", "unsafe").is_some_and(|n| n > 10));
     let held = before.descriptors() + next.descriptors();
     assert!(held <= 256, "{held}");
+    // The module refuses some too; these are the ones that there was no descriptor for.
+    awaits("some are turned away", || next.counted("turned_away") > 10);
 }
