Have three tests fail without their guards again

Seen (guards taken out): descriptors_are_shared passed without the other process's count, as it waited for refusals that came only once the first requests had ended; it looks at both processes while all are there now. With connections settling, an_unsafe_request_is_not_written_to_a_kept_connection and an_answer_with_more_than_belongs_to_it_is_served asked again before any kept one could be used; they wait for it now. Both want what they wanted.

--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -82,6 +82,7 @@
     let mut client = sidecar.client();
     for _ in 0..8 {
         assert_eq!(client.ask(&post("unsafe", "2", "x")).status(), 200);
+        std::thread::sleep(Duration::from_millis(60)); // what is kept has settled
     }
     assert_eq!(endpoint.requests(), 8);
 }
--- a/tests/sidecar/spoilt.rs
+++ b/tests/sidecar/spoilt.rs
@@ -87,6 +87,7 @@
             let reply = client.ask(&get("5"));
             let id = endpoint.next_request().1.header("x-request-id").map(str::to_string);
             assert_eq!((reply.status(), String::from_utf8(reply.body).ok()), (200, id), "{kind}");
+            std::thread::sleep(Duration::from_millis(60)); // what is kept has settled
         }
     }
 }
--- a/tests/sidecar/upgrade.rs
+++ b/tests/sidecar/upgrade.rs
@@ -206,15 +206,18 @@
         };
         (0..n).map(ask).collect()
     };
-    let _held = hold(&before, 40);
-    awaits("it holds them", || before.figure("pending") == Some(40));
+    let _held = hold(&before, 100);
+    awaits("it holds them", || before.figure("pending") == Some(100));
     let next = start(Some(before.address));
     before.awaits_log("callers go over");
     thread::sleep(Duration::from_millis(200)); // they tell each other what they hold
-    let _more = hold(&next, 100);
-    awaits("the rest is turned away", || next.ended("rejected", "unsafe").is_some_and(|n| n > 10));
-    let held = before.descriptors() + next.descriptors();
-    assert!(held <= 256, "{held}");
-    // The module refuses some too; these are the ones that there was no descriptor for.
-    awaits("some are turned away", || next.counted("turned_away") > 10);
+    let _more = hold(&next, 200);
+    awaits("it holds some", || next.figure("pending").is_some_and(|n| n > 10));
+    // What more it would let in comes within this time, and long before the first requests' end.
+    for _ in 0..30 {
+        let held = before.descriptors() + next.descriptors();
+        assert!(held <= 256, "{held}");
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(before.figure("pending"), Some(100), "they were there all the time");
 }
