--- a/tests/sidecar/crossings.rs
+++ b/tests/sidecar/crossings.rs
@@ -32,6 +32,16 @@
     fn does(&self, what: Does) {
         self.tell.send(what).expect("it waits");
     }
+
+    /// Serves as many requests as the module grants a few retries for.
+    fn earns_retries(&self, client: &mut Client) {
+        for _ in 0..10 {
+            client.write(&get("5"));
+            self.does(ok("x"));
+            assert_eq!(client.read().expect("an answer").status(), 200);
+            self.endpoint.next_request();
+        }
+    }
 }
 
 /// A sidecar with a short longest deadline, so that a stop has short steps.
@@ -113,13 +123,7 @@
     let mut sidecar = Sidecar::start(&brief(&discovery, &[&told.endpoint], Duration::from_secs(10)));
     let mut watch = discovery.next_watch();
     let mut client = sidecar.client();
-    // The module grants a retry for so many requests.
-    for _ in 0..10 {
-        client.write(&get("5"));
-        told.does(ok("x"));
-        assert_eq!(client.read().expect("an answer").status(), 200);
-    }
-    told.endpoint.messages();
+    told.earns_retries(&mut client);
     let ask = |request: String| {
         let mut client = sidecar.client();
         client.write(&request);
@@ -228,13 +232,7 @@
     let sidecar = Sidecar::start_with(&path);
     let mut watch = discovery.next_watch();
     let mut client = sidecar.client();
-    // The module grants a retry for so many requests.
-    for _ in 0..10 {
-        client.write(&get("5"));
-        told.does(ok("x"));
-        assert_eq!(client.read().expect("an answer").status(), 200);
-        told.endpoint.next_request();
-    }
+    told.earns_retries(&mut client);
     client.write(&post("unsafe", "9", "x"));
     told.endpoint.next_request();
     watch.write_line(&list(42, true, &serving(&[&told.endpoint, &other])));
