Close the listener on offer at a stop, and let in what a dead newer process left there

Seen (probes: the two new tests of tests/sidecar/crossings.rs, on the program before): a sidecar with $TMPDIR and a second address that has been told to stop, with one request out, has closed its own listener after the last step, but callers still connect: the part of the socket that is on offer to the next process keeps it open. Nobody accepts, so what they ask is lost at the process's end. Likewise where a newer process was given the socket and dies while the older one stops: three requests in the backlog, "None" for each, at "some connections were still open at the last moment". Ruled out: accept_last (it had run: of the listening descriptors in /proc one had gone, and callers connect after that); the newer process's own listener (the test is that process, and has none). At fault: src/bin/rowanway/main.rs, serve, which kept the offer up to its end, and src/bin/rowanway/upgrade.rs, offer, which does nothing at a newer process's end once this one stops. Now the offer ends before the backlog is emptied where nobody has taken it, and a newer process's death has the older one let in what waits. Each test fails with its half taken out (tried).

--- a/src/bin/rowanway/main.rs
+++ b/src/bin/rowanway/main.rs
@@ -87,11 +87,11 @@
         taken.map_err(|e| format!("the process before: {e}"))?;
         eprintln!("rowanway: {name} takes over from the process before");
     }
-    let _offer = match folder.map(|folder| Ok((folder, listener.as_fd().try_clone_to_owned()?))).transpose() {
+    let offer = match folder.map(|folder| Ok((folder, listener.as_fd().try_clone_to_owned()?))).transpose() {
         Ok(offer) => offer.map(|(folder, fd)| Task::spawn(upgrade::offer(node.clone(), folder, fd.into()))),
         Err(failure) => return Err(failed(failure)),
     };
-    serve(&node, listener, &mut stop).await;
+    serve(&node, listener, offer, &mut stop).await;
     counters::tell(&node);
     eprintln!("rowanway: {name} has stopped");
     Ok(())
@@ -109,8 +109,8 @@
 }
 
 /// Serves until SIGTERM, for a while longer on the connections that callers have, and then until all that was taken
-/// is answered.
-async fn serve(node: &Handle, listener: TcpListener, stop: &mut Signal) {
+/// is answered. The listening socket is on offer to the next process for as long.
+async fn serve(node: &Handle, listener: TcpListener, mut offer: Option<Task>, stop: &mut Signal) {
     tokio::select! {
         () = server::accept(node.clone(), &listener) => {}
         _ = stop.recv() => {}
@@ -124,7 +124,13 @@
     node.borrow().callers.stop();
     // It never ends by itself, so this only ever times out.
     let _ = timeout(STILL_COMING, server::accept(node.clone(), &listener)).await;
-    if !node.borrow().callers.are_let_in_elsewhere() {
+    // With nobody to take it, the part of it on offer would keep it open, and callers waiting there.
+    let nobody_has_it = node.borrow().twin.is_none();
+    if let Some(offer) = offer.take_if(|_| nobody_has_it) {
+        offer.end().await;
+    }
+    let is_last = !node.borrow().callers.are_let_in_elsewhere();
+    if let Some(listener) = listener.into_std().ok().filter(|_| is_last) {
         server::accept_last(node, listener);
     }
     let gone = {
--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -21,7 +21,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::sync::oneshot;
-use tokio::task::{AbortHandle, spawn_local};
+use tokio::task::{AbortHandle, spawn_local, yield_now};
 use tokio::time::{Instant, sleep_until};
 
 /// The longest time ahead that is told apart from later ones, so that no sum overflows.
@@ -72,6 +72,14 @@
     pub fn is_over(&self) -> bool {
         self.0.is_finished()
     }
+
+    /// Ends it, and waits until what it held is let go.
+    pub async fn end(self) {
+        self.0.abort();
+        while !self.is_over() {
+            yield_now().await;
+        }
+    }
 }
 
 impl Drop for Task {
--- a/src/bin/rowanway/server.rs
+++ b/src/bin/rowanway/server.rs
@@ -194,6 +194,10 @@
         self.are_let_in_elsewhere() || matches!(self.drain, Some(Drain::Leaving | Drain::Empty))
     }
 
+    pub fn are_stopped(&self) -> bool {
+        self.stopping
+    }
+
     pub fn are_gone(&self) -> bool {
         self.connections.is_empty()
     }
@@ -244,8 +248,7 @@
 
 /// Lets in what waits in the kernel's backlog, and closes the listener: with a connection there it would be reset, and a
 /// request that has come on it lost. The socket is asked, as the runtime hears of it later.
-pub fn accept_last(node: &Handle, listener: TcpListener) {
-    let Ok(listener) = listener.into_std() else { return };
+pub fn accept_last(node: &Handle, listener: std::net::TcpListener) {
     while let Ok((stream, _)) = listener.accept() {
         if stream.set_nonblocking(true).is_ok()
             && let Ok(stream) = TcpStream::from_std(stream)
--- a/src/bin/rowanway/upgrade.rs
+++ b/src/bin/rowanway/upgrade.rs
@@ -6,6 +6,7 @@
 //! asks its callers to come again. Until it ends, both tell each other what they hold of the limits that they share.
 
 use crate::node::{Handle, Node};
+use crate::server;
 use rustix::io::Errno;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
@@ -225,11 +226,15 @@
         }
         talk(&node, stream, twin).await;
         node.part();
-        let back = {
+        let (back, stopped) = {
             let mut node = node.borrow();
             node.pool.keep_idle(true);
-            node.callers.come_back()
+            (node.callers.come_back(), node.callers.are_stopped())
         };
+        if stopped {
+            // Perhaps the last part of it that is open: what waits there is let in by nobody else.
+            return server::accept_last(&node, listener);
+        }
         if back {
             eprintln!("rowanway: the process after has ended; callers are let in here again");
             asked = match bind() {
--- a/tests/sidecar/crossings.rs
+++ b/tests/sidecar/crossings.rs
@@ -8,6 +8,7 @@
 use std::io::{BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
+use std::path::Path;
 use std::sync::Mutex;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
@@ -312,6 +313,67 @@
     std::fs::remove_dir_all(folder).expect("it goes");
 }
 
+/// One that may be replaced, about to stop, with a request out that keeps it from ending: all callers are let in that were
+/// to be, and its own part of the listening socket is closed.
+fn stops_with_one_out(told: &Told, discovery: &Discovery, newer: impl FnOnce(&Path)) -> (Sidecar, Client) {
+    let folder = folder();
+    let config = brief(discovery, &[&told.endpoint], Duration::from_secs(15));
+    let sidecar = Sidecar::start_in(&folder, &config);
+    let socket = folder.join("rowanway.sock");
+    awaits("it offers to hand over", || socket.exists());
+    newer(&socket);
+    let mut out = sidecar.client();
+    out.write(&post("unsafe", "15", "x"));
+    told.endpoint.next_request();
+    let listeners = sidecar.listeners();
+    sidecar.terminate();
+    awaits("it lets nobody in any more", || sidecar.listeners() < listeners);
+    std::fs::remove_dir_all(folder).expect("it goes");
+    (sidecar, out)
+}
+
+/// Guards the listening socket that may be handed over against a stop with nobody to take it: it closes with the other, so
+/// that callers are refused and go elsewhere, and do not wait for an answer up to the process's end.
+#[test]
+fn a_stop_closes_the_listener_also_where_it_may_be_handed_over() {
+    let (told, discovery) = (Told::start(), Discovery::start());
+    let (mut sidecar, mut out) = stops_with_one_out(&told, &discovery, |_| {});
+    assert!(TcpStream::connect(sidecar.address).is_err(), "nobody lets it in");
+    told.does(ok("x"));
+    assert_eq!(out.read().expect("an answer").status(), 200);
+    assert!(sidecar.wait().success());
+}
+
+/// Guards callers of a newer process that dies while the older one stops: what waits in the backlog of the socket that both
+/// have is the older one's again, and is answered. The test is the newer process.
+#[test]
+fn a_process_that_stops_answers_what_a_newer_one_that_died_left_in_the_backlog() {
+    let (told, discovery) = (Told::start(), Discovery::start());
+    let mut newer = None;
+    let (mut sidecar, mut out) = stops_with_one_out(&told, &discovery, |socket| {
+        let mut stream = UnixStream::connect(socket).expect("it hands over");
+        stream.read_exact(&mut [0]).expect("the socket comes with a byte");
+        newer = Some(stream);
+    });
+    let mut waits: Vec<Client> = (0..3)
+        .map(|_| {
+            let mut client = sidecar.client();
+            client.write(&get("9"));
+            client
+        })
+        .collect();
+    drop(newer);
+    for client in &mut waits {
+        // Served, or refused: the time in which all has to be answered is nearly over.
+        let answer = client.read().map(|answer| answer.status());
+        assert!(matches!(answer, Some(200 | 503)), "{answer:?} {:?}", sidecar.log());
+    }
+    awaits("nobody is let in any more", || TcpStream::connect(sidecar.address).is_err());
+    told.does(ok("x"));
+    assert_eq!(out.read().expect("an answer").status(), 200);
+    assert!(sidecar.wait().success());
+}
+
 /// Guards the end of a hold against its timer: a request that was sent on meanwhile is the endpoint's to answer, and one
 /// that is over gets nothing more.
 #[test]
