Tell also those that are turned away for want of room when to come back

Seen (probe: tests/sidecar/customers.rs, what_is_turned_away...): where settings allow Retry-After, what the module refuses carries it, and what is refused unseen by it (too many open, no room for a body, no descriptors) does not: (503, None). Such a client comes back at once, into the same want. Ruled out: the settings (allowed, and read: the module's refusals carry 2 s in the same run of customers.rs). At fault: src/bin/rowanway/server.rs, turn_away. The word is the module's, in one place (choice.rs, retry_after). The test fails without the change (tried).

--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -620,6 +620,11 @@
         self.balancer.banned()
     }
 
+    /// When a request that is refused unseen by the module is to come back.
+    pub fn retry_after(&self) -> Option<Duration> {
+        self.balancer.retry_after()
+    }
+
     /// How the module stands.
     pub fn census(&self) -> Census {
         self.balancer.census(self.clock.now())
--- a/src/bin/rowanway/server.rs
+++ b/src/bin/rowanway/server.rs
@@ -397,8 +397,9 @@
     }
 
     fn turn_away(&self) -> Reply {
-        self.node.borrow().counters.turned_away += 1;
-        refused(None)
+        let mut node = self.node.borrow();
+        node.counters.turned_away += 1;
+        refused(node.retry_after())
     }
 
     /// A request for an endpoint.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -759,11 +759,16 @@
         }
     }
 
+    /// When whoever is refused is to come back, as far as it may be said. A client that comes back at once
+    /// meets the same overload, and its answer would be late.
+    pub fn retry_after(&self) -> Option<Duration> {
+        self.set.limits.retry_after.then_some(self.set.limits.max_retry_after)
+    }
+
     fn answer(&mut self, now: Moment, pending: &mut Pending, out: &mut Vec<Action>) {
         let request = pending.request.id.clone();
         pending.answered = true;
-        // A refused client that comes back at once meets the same overload, and its answer would be late.
-        let retry_after = self.set.limits.retry_after.then_some(self.set.limits.max_retry_after);
+        let retry_after = self.retry_after();
         let harmless = self.may_refuse(now, pending);
         out.push(if harmless { Action::Refuse { request, retry_after } } else { Action::Fail { request } });
     }
--- a/tests/sidecar/customers.rs
+++ b/tests/sidecar/customers.rs
@@ -80,6 +80,28 @@
     assert_eq!((refused.status(), refused.header("retry-after")), (503, None));
 }
 
+/// Guards refusals for want of room, which the module is not asked about: they say when to come back as all others do, as
+/// far as settings allow. There is room for one request, and none for any body.
+#[test]
+fn what_is_turned_away_for_want_of_room_says_when_to_come_back() {
+    for (allowed, told) in [(true, Some("2")), (false, None)] {
+        let endpoint = Endpoint::start(|_| Does::Hangs);
+        let discovery = Discovery::start();
+        let mut config = with_admin(config(discovery.address, &serving(&[&endpoint])));
+        config["settings"]["bounds"]["maxOpen"] = json!(1);
+        config["settings"]["bounds"]["retryAfter"] = json!(allowed);
+        let sidecar = Sidecar::start(&config);
+        let mut waits = sidecar.client();
+        waits.write(&post("unsafe", "9", "x"));
+        awaits("it is open", || sidecar.figure("pending") == Some(1));
+        let refused = sidecar.client().ask(&get("9"));
+        assert_eq!((refused.status(), refused.header("retry-after")), (503, told));
+        config["limits"]["memory_mb"] = json!(0);
+        let refused = Sidecar::start(&config).client().ask(&post("unsafe", "9", "x"));
+        assert_eq!((refused.status(), refused.header("retry-after")), (503, told));
+    }
+}
+
 /// Guards against one customer's names or figures anywhere: two unlike sets at their start, and each after the other at
 /// SIGHUP. Only a request under way keeps its class, and idle connections are kept as the new limits say.
 #[test]
