Test clients that leave while the module holds them, for a queue and over a drain, a stop or an upgrade

The waits that the tests of clients that leave did not show yet: for a queue at an endpoint that is known, and in the module while the process drains, stops or hands over (only late connections were shown there). Their stub of discovery goes on where a slow machine has the sidecar give a silent watch up.

--- a/tests/sidecar/leaving.rs
+++ b/tests/sidecar/leaving.rs
@@ -5,6 +5,9 @@
 use socket2::SockRef;
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::path::Path;
+use std::sync::Mutex;
+use std::sync::mpsc::channel;
 use std::time::Duration;
 
 /// How a client leaves, and what it has written behind its request by then.
@@ -71,11 +74,15 @@
     sidecar: Sidecar,
     endpoint: Endpoint,
     watch: Watch,
-    _discovery: Discovery,
+    discovery: Discovery,
 }
 
 impl Holds {
     fn with(change: impl FnOnce(&mut Value)) -> Self {
+        Self::start(change, Sidecar::start)
+    }
+
+    fn start(change: impl FnOnce(&mut Value), start: impl FnOnce(&Value) -> Sidecar) -> Self {
         let discovery = Discovery::start();
         let mut config = with_admin(config(discovery.address, &[]));
         config["settings"]["categories"].as_array_mut().expect("a list").iter_mut().for_each(|class| {
@@ -83,25 +90,29 @@
             class["hardLimitNs"] = json!(60_000_000_000u64);
         });
         change(&mut config);
-        let sidecar = Sidecar::start(&config);
+        let sidecar = start(&config);
         let watch = discovery.next_watch();
-        Holds { sidecar, endpoint: Endpoint::start(|_| ok("x")), watch, _discovery: discovery }
+        Holds { sidecar, endpoint: Endpoint::start(|_| ok("x")), watch, discovery }
     }
 
     /// Waits until something is so; discovery shows that it is there meanwhile.
     fn awaits(&mut self, what: &str, is_so: impl Fn(&Sidecar) -> bool) {
         awaits(what, || {
-            self.watch.write_line("");
+            says(&mut self.watch, &self.discovery, "");
             is_so(&self.sidecar)
         });
     }
 
+    fn says(&mut self, line: &str) {
+        says(&mut self.watch, &self.discovery, line);
+    }
+
     fn has_pending(&mut self, n: usize) {
         self.awaits(&format!("{n} are pending"), |sidecar| sidecar.figure("pending") == Some(n as u64));
     }
 
     fn lets_go(&mut self) {
-        self.watch.write_line(&list(42, false, &serving(&[&self.endpoint])));
+        self.says(&list(42, false, &serving(&[&self.endpoint])));
     }
 
     /// What the endpoint has seen of the ids of these requests, when all are answered.
@@ -110,6 +121,14 @@
     }
 }
 
+/// Tells a line, on the next watch where the sidecar has given one up for its silence.
+fn says(watch: &mut Watch, discovery: &Discovery, line: &str) {
+    if !watch.is_open() {
+        *watch = discovery.next_watch();
+    }
+    watch.write_line(line);
+}
+
 fn id(request: &str) -> String {
     let from = request.split("X-Request-Id: ").nth(1).expect("it has one");
     from.split("\r\n").next().expect("a line").to_string()
@@ -171,6 +190,40 @@
     });
 }
 
+/// Guards those that wait for room at an endpoint that is known: two calls out there are a queue in which the least worthy
+/// class waits. It goes on when they are answered, without those that have left.
+#[test]
+fn nor_one_that_waits_for_a_queue_to_get_short() {
+    let (tell, told) = channel::<()>();
+    let told = Mutex::new(told);
+    let busy = Endpoint::start(move |message| {
+        if message.header("x-class") == Some("unsafe") {
+            let _ = told.lock().expect("the only one").recv();
+        }
+        ok("x")
+    });
+    let mut holds = Holds::with(|config| config["known"]["endpoints"] = json!(serving(&[&busy])));
+    let mut out = [0, 1].map(|_| {
+        let client = Waits::with(&holds.sidecar, &post("unsafe", "60", "x"));
+        busy.next_request();
+        client
+    });
+    let requests = WAYS.map(|how| (how, get("60")));
+    let leave: Vec<_> =
+        requests.iter().map(|(how, request)| (*how, Waits::with(&holds.sidecar, request))).collect();
+    let request = get("60");
+    let mut stays = Waits::with(&holds.sidecar, &request);
+    holds.has_pending(2 + WAYS.len() + 1);
+    leave.into_iter().for_each(|(how, client)| client.leaves(how));
+    holds.has_pending(3);
+    assert_eq!(busy.requests(), 0, "all of them have waited");
+    (0..2).for_each(|_| tell.send(()).expect("it waits"));
+    assert!(out.iter_mut().all(Waits::is_served) && stays.is_served());
+    let saw: Vec<_> =
+        busy.messages().iter().filter_map(|m| m.header("x-request-id").map(String::from)).collect();
+    assert_eq!(saw, [id(&request)]);
+}
+
 /// Guards large bodies: one that is held has its body unread, or has come half, and nobody reads on to see its client
 /// leave. One that comes in chunks has what is behind it read with it.
 #[test]
@@ -320,18 +373,59 @@
     }
     let names = [("e0", &fails), ("other", &holds.endpoint)];
     let all: Vec<Value> = names.iter().map(|(n, e)| entry(n, e.address, "SERVING")).collect();
-    holds.watch.write_line(&list(42, false, &all));
+    holds.says(&list(42, false, &all));
     holds.awaits("the other is listed", |sidecar| sidecar.figure("members") == Some(2));
     let mut neighbour = Waits::with(&holds.sidecar, &get("60"));
     assert!(neighbour.is_served(), "a retry goes there");
     assert_eq!(holds.saw().len(), 1, "and nothing else did");
 }
 
+const CHANGES: [&str; 3] = ["DRAIN", "TERM", "upgrade"];
+
+/// What a sidecar is told while requests wait there; the next process, if one serves from now on.
+fn changes(word: &str, sidecar: &Sidecar, folder: &Path, endpoint: &Endpoint) -> Option<Sidecar> {
+    if word == "upgrade" {
+        let mut config = with_admin(config(Discovery::start().address, &serving(&[endpoint])));
+        config["listen"] = json!(sidecar.address.to_string());
+        let next = Sidecar::start_in(folder, &config);
+        sidecar.awaits_log("callers go over to the process after");
+        return Some(next);
+    }
+    match word {
+        "DRAIN" => assert!(sidecar.says_yes("DRAIN")),
+        _ => sidecar.terminate(),
+    }
+    awaits("it takes no more callers", || !sidecar.says_yes("READY"));
+    None
+}
+
+/// Guards the same for those that the module itself holds: nowhere is there an endpoint to send them to.
+#[test]
+fn nor_one_that_the_module_holds_over_these() {
+    for word in CHANGES {
+        let folder = folder();
+        let mut holds = Holds::start(|_| {}, |config| Sidecar::start_in(&folder, config));
+        let request = get("60");
+        let mut stays = Waits::with(&holds.sidecar, &request);
+        let leave: Vec<_> =
+            WAYS.into_iter().map(|how| (how, Waits::with(&holds.sidecar, &get("60")))).collect();
+        holds.has_pending(9);
+        let next = changes(word, &holds.sidecar, &folder, &holds.endpoint);
+        leave.into_iter().for_each(|(how, client)| client.leaves(how));
+        holds.has_pending(1);
+        holds.lets_go();
+        assert!(stays.is_served(), "{word}");
+        assert_eq!(holds.saw(), [id(&request)], "{word}");
+        assert_eq!(next.map_or(0, |next| next.figure("upstream_requests").expect("a figure")), 0);
+        let _ = std::fs::remove_dir_all(folder);
+    }
+}
+
 /// Guards the waits that go on over the end of a process: a drain by hand, a stop, and an upgrade by which another process
 /// serves meanwhile. Who stays is served, who leaves is not sent on.
 #[test]
 fn a_held_request_whose_client_leaves_is_not_sent_over_a_drain_or_a_stop() {
-    for word in ["DRAIN", "TERM", "upgrade"] {
+    for word in CHANGES {
         let folder = folder();
         let discovery = Discovery::start();
         let endpoint = Endpoint::start(|_| ok("x"));
@@ -344,24 +438,7 @@
         let stays = Waits::with(&sidecar, &request);
         let leave: Vec<_> = WAYS.into_iter().map(|how| (how, Waits::with(&sidecar, &get("10")))).collect();
         pending(9);
-        let next = match word {
-            "DRAIN" => {
-                assert!(sidecar.says_yes("DRAIN"));
-                None
-            }
-            "TERM" => {
-                sidecar.terminate();
-                awaits("it stops", || !sidecar.says_yes("READY"));
-                None
-            }
-            _ => {
-                let mut config = with_admin(crate::stubs::config(discovery.address, &serving(&[&endpoint])));
-                config["listen"] = json!(sidecar.address.to_string());
-                let next = Sidecar::start_in(&folder, &config);
-                sidecar.awaits_log("callers go over to the process after");
-                Some(next)
-            }
-        };
+        let next = changes(word, &sidecar, &folder, &endpoint);
         leave.into_iter().for_each(|(how, client)| client.leaves(how));
         pending(1);
         assert!(late.next_written().contains(&id(&request)), "{word}: it is that of the one that stays");
--- a/tests/sidecar/stubs.rs
+++ b/tests/sidecar/stubs.rs
@@ -272,6 +272,14 @@
         matches!(self.stream.read(&mut [0]), Ok(0))
     }
 
+    /// Whether the sidecar has not closed it so far.
+    pub fn is_open(&self) -> bool {
+        self.stream.set_nonblocking(true).expect("an option");
+        let open = self.stream.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+        self.stream.set_nonblocking(false).expect("an option");
+        open
+    }
+
     /// Ends it in order, as a list that was asked for once.
     pub fn finish(&mut self) {
         self.stream.write_all(b"0\r\n\r\n").expect("it is open");
