Follow what a process that died had kept also where it took an endpoint back in

Seen (probe: tests/sidecar/crossings.rs, a_ban_outlives_the_process..., with more told): a process that is told ENABLE, keeps that in the file and dies before it has passed it on leaves the endpoint out at the other one for good ("not in time: a line says endpoint e1 is back by hand"). And each process wrote the whole file from its own book, so that of two words told to two processes at once the second wiped the first off the file. At fault: src/bin/rowanway/upgrade.rs, part, which took over bans only, and keep_bans. Now the file is changed by the one endpoint that a word is of, and what it says holds when another process is gone, unless it cannot be read, or this process's own last word could not be written there.

--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -220,7 +220,7 @@
             events: VecDeque::new(),
             actions: Vec::new(),
         })));
-        let bans = node.borrow().folder.as_ref().map(|f| f.bans()).unwrap_or_default();
+        let bans = node.borrow().folder.as_ref().and_then(|f| f.bans()).unwrap_or_default();
         bans.iter().for_each(|endpoint| node.banned(endpoint.as_str().into(), true));
         {
             let Node { figures, terms, .. } = &mut *node.borrow();
@@ -469,10 +469,10 @@
     /// An endpoint is taken out or back in, here or by the other process.
     pub fn banned(&self, endpoint: EndpointId, out: bool) {
         eprintln!("rowanway: endpoint {} is {} by hand", endpoint.0, if out { "taken out" } else { "back" });
-        self.tell(Event::Banned { endpoint, out });
+        self.tell(Event::Banned { endpoint: endpoint.clone(), out });
         let node = self.borrow();
         if let Some(folder) = &node.folder {
-            folder.keep_bans(node.balancer.banned().map(|e| &*e.0));
+            folder.keep_ban(&endpoint.0, out, node.bans().map(|e| &*e.0));
         }
     }
 
--- a/src/bin/rowanway/upgrade.rs
+++ b/src/bin/rowanway/upgrade.rs
@@ -13,7 +13,8 @@
     SendFlags, recvmsg, sendmsg,
 };
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::io::{self, IoSlice, IoSliceMut, Read};
 use std::mem::MaybeUninit;
@@ -98,6 +99,8 @@
     path: PathBuf,
     /// Open, so that a path too long for a socket's address can be named through it.
     opened: File,
+    /// What is kept there is short of what this process was told, as the last word could not be written.
+    is_behind: Cell<bool>,
 }
 
 impl Folder {
@@ -105,7 +108,7 @@
     pub fn from_environment() -> Option<Self> {
         let path = PathBuf::from(std::env::var_os("TMPDIR").filter(|p| !p.is_empty())?);
         let opened = File::open(&path).ok().filter(|f| f.metadata().is_ok_and(|m| m.is_dir()))?;
-        Some(Folder { path, opened })
+        Some(Folder { path, opened, is_behind: Cell::new(false) })
     }
 
     fn file(&self, name: &str) -> PathBuf {
@@ -118,34 +121,43 @@
 }
 
 impl Folder {
-    /// The endpoints that the operators had taken out when the process before ended, or as it goes on. What cannot be
-    /// read is one line of the log.
-    pub fn bans(&self) -> Vec<String> {
-        let read = || -> Result<Vec<String>, Box<dyn std::error::Error>> {
+    /// The endpoints that the operators had taken out when the process before ended, or as it goes on; none where nothing
+    /// is kept. What cannot be read is one line of the log.
+    pub fn bans(&self) -> Option<BTreeSet<String>> {
+        let read = || -> Result<BTreeSet<String>, Box<dyn std::error::Error>> {
             let mut text = String::new();
             File::open(self.file(BANS))?.take(MOST_BANS).read_to_string(&mut text)?;
             Ok(serde_json::from_str(&text)?)
         };
         match read() {
-            Ok(bans) => bans,
+            Ok(bans) => Some(bans),
             Err(e) if e.downcast_ref().is_some_and(|e: &io::Error| e.kind() == io::ErrorKind::NotFound) => {
-                Vec::new()
+                None
             }
             Err(failure) => {
                 eprintln!("rowanway: the file of endpoints taken out is ignored: {failure}");
-                Vec::new()
+                None
             }
         }
     }
 
-    /// Keeps them for the next process: written aside and moved into place, so that no reader finds half of it.
-    pub fn keep_bans<'a>(&self, bans: impl Iterator<Item = &'a str>) {
+    /// Keeps for the other processes that one is taken out, or back in, beside what they have kept; where nothing is, with
+    /// all that this one knows. Written aside and moved into place, so that no reader finds half of it.
+    pub fn keep_ban<'a>(&self, endpoint: &str, out: bool, known: impl Iterator<Item = &'a str>) {
+        let mut bans = self.bans().unwrap_or_else(|| known.map(String::from).collect());
+        if out {
+            bans.insert(endpoint.into())
+        } else {
+            bans.remove(endpoint)
+        };
         let (aside, place) = (self.file(&format!("{}.bans", std::process::id())), self.file(BANS));
         let keep = |aside: &Path| -> io::Result<()> {
-            std::fs::write(aside, serde_json::to_vec(&bans.collect::<Vec<_>>())?)?;
+            std::fs::write(aside, serde_json::to_vec(&bans)?)?;
             std::fs::rename(aside, place)
         };
-        if let Err(failure) = keep(&aside) {
+        let kept = keep(&aside);
+        self.is_behind.set(kept.is_err());
+        if let Err(failure) = kept {
             eprintln!("rowanway: an upgrade will not know what is taken out: {failure}");
         }
     }
@@ -338,17 +350,18 @@
         (number, words)
     }
 
-    /// Another process is gone, and all that it held. What it was told last it may have kept, but not passed on.
+    /// Another process is gone, and all that it held. What it was told last it may have kept, but not passed on: what is
+    /// kept is what holds.
     fn part(&self, number: u64) {
         let mut node = self.borrow();
         node.twins.others.remove(&number);
         node.pool.descriptors.others_hold(node.twins.hold());
-        let kept = node.folder.as_ref().map(|folder| folder.bans()).unwrap_or_default();
+        let Some(kept) = node.folder.as_ref().and_then(|folder| folder.bans()) else { return };
+        let known: BTreeSet<String> = node.bans().map(|e| e.0.to_string()).collect();
+        let is_behind = node.folder.as_ref().is_some_and(|folder| folder.is_behind.get());
         drop(node);
-        for endpoint in kept.iter().map(|e| e.as_str().into()) {
-            if !self.borrow().is_banned(&endpoint) {
-                self.banned(endpoint, true);
-            }
+        for endpoint in known.symmetric_difference(&kept).filter(|e| kept.contains(*e) || !is_behind) {
+            self.banned(endpoint.as_str().into(), kept.contains(endpoint));
         }
     }
 
--- a/tests/sidecar/crossings.rs
+++ b/tests/sidecar/crossings.rs
@@ -292,24 +292,45 @@
     let folder = folder();
     let endpoints = [0, 1].map(|_| Endpoint::start(|_| ok("")));
     let discovery = Discovery::start();
-    let sidecar = Sidecar::start_in(
-        &folder,
-        &with_admin(config(discovery.address, &serving(&[&endpoints[0], &endpoints[1]]))),
-    );
+    let all = serving(&[&endpoints[0], &endpoints[1]]);
+    let sidecar = Sidecar::start_in(&folder, &with_admin(config(discovery.address, &all)));
     let socket = folder.join("rowanway.sock");
     awaits("it offers to hand over", || socket.exists());
     let newer = UnixStream::connect(&socket).expect("it hands over");
     let mut byte = [0];
     (&newer).read_exact(&mut byte).expect("the socket comes with a byte");
-    std::fs::write(folder.join("rowanway.bans"), "[\"e1\"]").expect("the word is kept");
-    assert_eq!(sidecar.figure("members_unavailable"), Some(0));
+    let (bans, out) = (folder.join("rowanway.bans"), || sidecar.figure("members_unavailable"));
+    std::fs::write(&bans, "[\"e1\"]").expect("the word is kept");
+    assert_eq!(out(), Some(0));
     drop(newer);
-    awaits("it is taken out here too", || sidecar.figure("members_unavailable") == Some(1));
+    awaits("it is taken out here too", || out() == Some(1));
     let mut client = sidecar.client();
     for _ in 0..20 {
         assert_eq!(client.ask(&get("5")).status(), 200);
     }
     assert_eq!(endpoints[1].requests(), 0);
+    // Back in, told to the next newer one; but a file that cannot be read says nothing.
+    let mut dies = |text: &str, told: &str| {
+        let newer = UnixStream::connect(&socket).expect("it hands over");
+        (&newer).read_exact(&mut byte).expect("the socket comes with a byte");
+        std::fs::write(&bans, text).expect("the word is kept");
+        assert_eq!(out(), Some(1));
+        if !told.is_empty() {
+            assert!(sidecar.says_yes(told));
+        }
+        drop(newer);
+    };
+    dies("[\"e1", "");
+    sidecar.awaits_log("endpoints taken out is ignored");
+    assert_eq!(out(), Some(1));
+    dies("[]", "");
+    awaits("it is back here too", || out() == Some(0));
+    // Each told something of its own at once.
+    assert!(sidecar.says_yes("DISABLE e1"));
+    dies("[\"e0\",\"e1\"]", "ENABLE e1");
+    sidecar.awaits_log("endpoint e0 is taken out by hand");
+    assert_eq!(out(), Some(1));
+    assert_eq!(std::fs::read_to_string(&bans).expect("it is kept"), "[\"e0\"]");
     std::fs::remove_dir_all(folder).expect("it goes");
 }
 
