Catch SIGHUP and SIGTERM before the configuration is read

Seen (probe: tests/sidecar/reload.rs, a_signal_that_comes_as_the_program_starts..., with the configuration in a pipe that the test holds back): SIGHUP ends a program that still reads its configuration on the spot, which is a crash to whoever started it; SIGTERM does, too, and not as an end in order. Ruled out: the reload itself (never reached: the program ended with the signal before it told where it listens). At fault: src/bin/rowanway/main.rs, which read the configuration before run, where the signals are caught. The test fails without the change (tried).

--- a/src/bin/rowanway/main.rs
+++ b/src/bin/rowanway/main.rs
@@ -37,10 +37,9 @@
 
 fn main() -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let end = Config::from_environment().and_then(|config| {
-        let runtime = runtime.map_err(|e| format!("the runtime: {e}"))?;
-        LocalSet::new().block_on(&runtime, run(config))
-    });
+    let end = runtime
+        .map_err(|e| format!("the runtime: {e}"))
+        .and_then(|runtime| LocalSet::new().block_on(&runtime, run()));
     match end {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
@@ -50,9 +49,11 @@
     }
 }
 
-async fn run(config: Config) -> Result<(), String> {
+async fn run() -> Result<(), String> {
+    // Heard from the first moment on: not yet caught, either would end the process on the spot.
     let mut stop = signal(SignalKind::terminate()).map_err(|e| format!("SIGTERM: {e}"))?;
     let reload = signal(SignalKind::hangup()).map_err(|e| format!("SIGHUP: {e}"))?;
+    let config = Config::from_environment()?;
     let (name, listen, admin) = (config.name.clone(), config.listen, config.admin);
     let admin = match admin {
         Some(address) => Some(admin::listen(address).await?),
--- a/tests/sidecar/reload.rs
+++ b/tests/sidecar/reload.rs
@@ -2,7 +2,10 @@
 
 use crate::stubs::*;
 use serde_json::{Value, json};
+use std::fs::OpenOptions;
+use std::io::Write;
 use std::path::Path;
+use std::process::Command;
 use std::sync::Mutex;
 use std::sync::mpsc::channel;
 
@@ -284,3 +287,30 @@
     awaits("the class is there", || client.ask(&get("5").replace("safe", "new")).status() == 200);
     std::fs::remove_file(path).expect("the file goes");
 }
+
+/// Guards the start against signals that come while the configuration is still being read: SIGHUP has it read again, and
+/// SIGTERM is an end in order. The file is a pipe, so that the program waits for it as long as the test likes.
+#[test]
+fn a_signal_that_comes_as_the_program_starts_is_heard() {
+    let endpoint = Endpoint::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let config = with_admin(config(discovery.address, &serving(&[&endpoint]))).to_string();
+    let pipe = folder().join("config");
+    assert!(Command::new("mkfifo").arg(&pipe).status().expect("mkfifo runs").success());
+    // Opened once the program has it open, too.
+    let open = || OpenOptions::new().write(true).open(&pipe).expect("it is read");
+    let starts = |name: &str| {
+        let child = command().env("ROUTER_CONFIG", &pipe).spawn().expect("the program starts");
+        let mut write = open();
+        signal(&child, name);
+        write.write_all(config.as_bytes()).expect("it is read");
+        drop(write);
+        Sidecar::of(child)
+    };
+    let sidecar = starts("HUP");
+    open().write_all(config.as_bytes()).expect("it is read again");
+    awaits("it is taken", || sidecar.figure("config_reloads") == Some(1));
+    assert_eq!(sidecar.client().ask(&get("5")).status(), 200);
+    assert!(starts("TERM").wait().success());
+    std::fs::remove_dir_all(pipe.parent().expect("its folder")).expect("it goes");
+}
--- a/tests/sidecar/stubs.rs
+++ b/tests/sidecar/stubs.rs
@@ -369,6 +369,11 @@
     path
 }
 
+pub fn signal(child: &Child, name: &str) {
+    let sent = Command::new("kill").args(["-s", name, &child.id().to_string()]).status();
+    assert!(sent.expect("kill runs").success());
+}
+
 impl Sidecar {
     pub fn start(config: &Value) -> Self {
         let path = file(&config.to_string());
@@ -399,7 +404,11 @@
     }
 
     pub fn run(command: &mut Command) -> Self {
-        let mut child = command.spawn().expect("the program starts");
+        Self::of(command.spawn().expect("the program starts"))
+    }
+
+    /// One that has been started, once it listens.
+    pub fn of(mut child: Child) -> Self {
         let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines().map_while(Result::ok);
         let told = |line: &str, what: &str| line.split_once(what).and_then(|(_, a)| a.parse().ok());
         let mut admin = None;
@@ -470,8 +479,7 @@
     }
 
     pub fn signal(&self, name: &str) {
-        let sent = Command::new("kill").args(["-s", name, &self.child.id().to_string()]).status();
-        assert!(sent.expect("kill runs").success());
+        signal(&self.child, name);
     }
 
     /// Has it do nothing until [`Sidecar::thaws`], so that what comes meanwhile has all come at once.
