--- a/tests/sidecar/crossings.rs
+++ b/tests/sidecar/crossings.rs
@@ -197,6 +197,37 @@
     }
 }
 
+/// Guards answers that say nothing of their length, which last until their connection's end: a reset is none, whatever has
+/// come by then, and what may have run fails.
+#[test]
+fn a_reset_is_no_end_of_an_answer_without_a_length() {
+    for (resets_it, status) in [(true, 502), (false, 200)] {
+        for text in
+            ["HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\nbegun", "HTTP/1.0 200 OK\r\n\r\nbegun"]
+        {
+            let (listener, known) = raw();
+            let discovery = Discovery::start();
+            let sidecar = Sidecar::start(&with_admin(config(discovery.address, &[known])));
+            let mut client = sidecar.client();
+            client.write(&post("unsafe", "9", "x"));
+            let (_, mut stream) = asked(&listener);
+            stream.write_all(text.as_bytes()).expect("it is open");
+            std::thread::sleep(Duration::from_millis(50)); // it is read before the end comes, and after
+            if resets_it {
+                resets(stream);
+            } else {
+                drop(stream);
+            }
+            let answer = client.read().expect("an answer");
+            assert_eq!(answer.status(), status, "{text}");
+            if !resets_it {
+                assert_eq!(answer.body, text.split_once("\r\n\r\n").expect("a head").1.as_bytes());
+            }
+            assert_eq!(sidecar.figure("upstream_requests"), Some(1));
+        }
+    }
+}
+
 /// Guards the time-out against an answer that has come by then: one of them is the end, the client gets one answer, and
 /// nothing is sent again. The connection that was given up carries nothing more.
 #[test]
