Give requests that are out a worth level of the new settings too

Seen (probe: tests/sidecar/crossings.rs, fewer_levels_do_not_reach..., on the program before): SIGHUP with fewer classes while two attempts are out: "thread 'main' panicked at src/choice.rs:799: index out of bounds: the len is 1 but the index is 1" as one client leaves, the same at 649 as the other attempt fails and its retry is to wait. The first request is never told gone, the second is answered 504 at its deadline ("request id-11 was still open at its deadline"). Ruled out: the classes (requests keep theirs; the table only grows), the node (its books are whole after the panic). At fault: src/choice.rs, retune, which gave new levels to held requests alone, while hold and end go by the level of any. And where tenants first appear, level 0 was taken for traffic beyond a share that had not been there. The test fails without the change (tried).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -126,6 +126,7 @@
         out: &mut Vec<Action>,
     ) -> Result<Vec<ClassId>, SettingsError> {
         set.check()?;
+        let had_shares = !self.set.tenants.is_empty();
         let tenant = |name: &str| self.set.tenants.iter().position(|t| t.name == name);
         let tenants = set.tenants.iter().map(|t| tenant(&t.name).map_or(0.0, |t| self.tenants[t]));
         self.tenants = tenants.collect();
@@ -142,10 +143,14 @@
         let ids = ids.collect();
         let held: Vec<RequestId> = self.held.iter_mut().rev().flat_map(std::mem::take).collect();
         self.set_levels();
-        for id in held {
-            let Some(pending) = self.requests.get_mut(&id) else { continue };
-            let beyond_share = pending.level == 0 && !self.set.tenants.is_empty();
+        let shares = had_shares && !self.set.tenants.is_empty();
+        // Those that are out, too: they may be held again, for a retry.
+        for pending in self.requests.values_mut() {
+            let beyond_share = pending.level == 0 && shares;
             pending.level = if beyond_share { 0 } else { self.classes[pending.request.class.0].level };
+        }
+        for id in held {
+            let Some(pending) = self.requests.get(&id) else { continue };
             self.held[pending.level].push_back(id);
         }
         for e in 0..self.endpoints.len() {
--- a/tests/sidecar/crossings.rs
+++ b/tests/sidecar/crossings.rs
@@ -279,6 +279,45 @@
     std::fs::remove_file(path).expect("the file goes");
 }
 
+/// Guards attempts that are out against fewer worth levels from SIGHUP: a request keeps its worth among those that are left,
+/// be it retried, or its client gone.
+#[test]
+fn fewer_levels_do_not_reach_an_attempt_that_is_out() {
+    let (told, other) = (Told::start(), Endpoint::start(|_| ok("other")));
+    let discovery = Discovery::start();
+    let mut config = with_admin(config(discovery.address, &serving(&[&told.endpoint])));
+    let path = file(&config.to_string());
+    let sidecar = Sidecar::start_with(&path);
+    let mut watch = discovery.next_watch();
+    let mut client = sidecar.client();
+    told.earns_retries(&mut client);
+    let mut gone = sidecar.client();
+    for client in [&mut client, &mut gone] {
+        client.write(&post("keyed", "9", "x").replace("X-Class", "Idempotency-Key: k\r\nX-Class"));
+        told.endpoint.next_request();
+    }
+    let drains = entry("e0", told.endpoint.address, "DRAINING");
+    watch.write_line(&list(42, false, &[drains]));
+    awaits("it drains", || sidecar.figure("members_unavailable") == Some(1));
+    // Only the least worthy class is left beside theirs.
+    config["settings"]["categories"].as_array_mut().expect("a list").truncate(1);
+    config["settings"]["categories"][0]["worth"] = json!(2.0);
+    std::fs::write(&path, config.to_string()).expect("the file is written");
+    sidecar.signal("HUP");
+    awaits("it is taken", || sidecar.figure("config_reloads") == Some(1));
+    drop(gone);
+    awaits("it has left", || sidecar.figure("pending") == Some(1));
+    told.does(Does::Answers("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n".into()));
+    told.does(Does::Answers("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n".into()));
+    std::thread::sleep(Duration::from_millis(100)); // the retry waits
+    watch.write_line(&list(43, false, &[entry("e1", other.address, "SERVING")]));
+    let answer = client.read().expect("an answer");
+    assert_eq!((answer.status(), answer.body.as_slice()), (200, "other".as_bytes()));
+    assert_eq!(client.ask(&get("5")).status(), 200, "and all is as ever");
+    assert!(!sidecar.log().iter().any(|line| line.contains("panicked")));
+    std::fs::remove_file(path).expect("the file goes");
+}
+
 // ---- Idle connections ------------------------------------------------------------------------------------
 
 /// Guards the close that makes room against the request that is on its way: each caller gets its answer whole, or a close
