--- a/tests/robust.rs
+++ b/tests/robust.rs
@@ -85,16 +85,42 @@
             endpoint: e.as_str().into(), outcome: Outcome::Served, took, report,
         }),
         1 => Just(Event::PeerMessage { from: PeerId(99), data: vec![1] }),
+        1 => (name("e"), any::<bool>())
+            .prop_map(|(e, out)| Event::Banned { endpoint: e.as_str().into(), out }),
     ]
 }
 
+/// What an instance is told: an event, or other settings.
+#[derive(Clone, Debug)]
+enum Told {
+    Event(Event),
+    /// So many of its classes with the worth of the first, and so many tenants.
+    Settings {
+        classes: usize,
+        worth: f64,
+        tenants: usize,
+    },
+}
+
+fn told() -> impl Strategy<Value = Told> {
+    let settings = (1..6usize, 0.5..20.0f64, 0..3usize);
+    prop_oneof![
+        9 => event().prop_map(Told::Event),
+        1 => settings.prop_map(|(classes, worth, tenants)| Told::Settings { classes, worth, tenants }),
+    ]
+}
+
+fn tenants(n: usize) -> Vec<Tenant> {
+    (0..n).map(|n| Tenant { name: format!("t{n}"), share: 0.0, quota_per_s: 0.0 }).collect()
+}
+
 #[test]
 fn no_event_makes_the_module_panic() {
     let mut config = Config::with_cases(600);
     config.rng_algorithm = RngAlgorithm::ChaCha;
     config.rng_seed = RngSeed::Fixed(20_261_128);
     config.failure_persistence = None;
-    let input = (any::<u64>(), prop::collection::vec((moment(), event()), 1..80));
+    let input = (any::<u64>(), prop::collection::vec((moment(), told()), 1..80));
     TestRunner::new(config)
         .run(&input, |(seed, events)| {
             let mut set = settings();
@@ -102,11 +128,20 @@
             set.rules.order_pause = Some(ms(50));
             set.rules.drain_close = Some(ms(50));
             set.discovery = if seed.is_multiple_of(2) { Discovery::Asked } else { Discovery::Pushed };
-            set.tenants = vec![Tenant { name: "t".into(), share: 0.0, quota_per_s: 0.0 }];
-            let mut balancer = Balancer::new(set, seed).expect("settings that make sense");
+            set.tenants = tenants(1);
+            let mut balancer = Balancer::new(set.clone(), seed).expect("settings that make sense");
             let mut out = Vec::new();
-            for (now, event) in events {
-                balancer.handle(now, event, &mut out);
+            for (now, told) in events {
+                match told {
+                    Told::Event(event) => balancer.handle(now, event, &mut out),
+                    Told::Settings { classes, worth, tenants: n } => {
+                        let mut set = set.clone();
+                        set.classes.truncate(classes);
+                        (set.classes[0].worth, set.tenants) = (worth, tenants(n));
+                        let ids = balancer.retune(now, set, &mut out).expect("settings that make sense");
+                        prop_assert_eq!(ids.len(), classes);
+                    }
+                }
             }
             Ok(())
         })
