Free what timed out at its own deadline, whichever timed out first

Seen (probe: tests/legal.rs, with the book of what is out checked at each event): "6 are out, for 3 to 3". An attempt that timed out counts at its endpoint until its request's deadline. These stood in a queue in the order of their time-outs, which was taken for that of their deadlines: behind one with a long deadline all others stayed, for as long as classes differ in it, and copies kept away from endpoints where nothing of theirs ran. Ruled out: attempts that end otherwise, and clients that leave (the check holds with the order mended). At fault: src/choice.rs, conclude, which appended, and handle, which looks at the front alone. The test fails without the change (tried).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -819,7 +819,10 @@
         done.fate = if ended.outcome.proves_unrun() { Fate::Unrun } else { Fate::MayHaveRun };
         let e = done.endpoint;
         if ended.outcome == Outcome::TimedOut {
-            self.overdue.push_back((pending.request.deadline, e)); // most servers go on with it all the same
+            // Most servers go on with it all the same.
+            let until = pending.request.deadline;
+            let at = self.overdue.partition_point(|(other, _)| *other <= until);
+            self.overdue.insert(at, (until, e));
         } else {
             self.is_back(e);
         }
--- a/tests/legal.rs
+++ b/tests/legal.rs
@@ -124,6 +124,20 @@
         for action in out {
             self.check(action);
         }
+        // The book of what is out: attempts that have not ended, and those timed out, which run on until their deadline.
+        // What reaches that at this very event may go with the next one.
+        let now = self.now;
+        let count = |also: fn(Moment, Moment, Moment) -> bool| {
+            let is_out = |t: &&Try, deadline: Moment| {
+                t.ended.is_none_or(|(o, at)| o == Outcome::TimedOut && also(deadline, at, now))
+            };
+            let tries = |k: &Known| k.tries.iter().filter(|t| is_out(t, k.deadline)).count();
+            self.requests.values().map(tries).sum::<usize>()
+        };
+        let due = count(|deadline, _, now| deadline > now);
+        let most = count(|deadline, ended, now| deadline > now || ended == now);
+        let out = self.balancer.census(now).out;
+        assert!(due <= out && out <= most, "{out} are out, for {due} to {most}");
     }
 
     fn check(&mut self, action: Action) {
