Send to the least faulty endpoint where none is sound, so that a cold zone is no dead end

Its own zone has one endpoint, cold, whose turn comes after so many own sends, and those of the other zones, idle and clear, have failed 0.3 to 0.5 of late, as all do there (a third of connections come up late); the bar for them is the mean over the own zone's one and two unheard of, 0.2. So no send, no turn, and no end to it but by faults that fade in 20 s. At fault: src/choice.rs, pick: with nobody open it waits for the soundest, and also where nobody is sound. Now the one that fails least is taken then, if it is clear. Healthy ones that are busy are waited for as before; cold ones keep their turns. The test fails without it (tried).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -531,9 +531,8 @@
         let fault = |b: &Self, e: usize| b.endpoints[e].fault(of, now, FAULT_FADE);
         let faults: f64 = self.subset.iter().map(|e| fault(self, *e)).sum();
         let bar = faults / (self.subset.len() + 2) as f64 + FAULT_MARGIN;
-        let takes = |b: &Self, e: usize, level: usize| {
-            fault(b, e) <= bar && b.usable(now, e, pending, scope) && level >= b.standing(now, e).0
-        };
+        let sound = |b: &Self, e: usize| fault(b, e) <= bar && b.usable(now, e, pending, scope);
+        let takes = |b: &Self, e: usize, level: usize| sound(b, e) && level >= b.standing(now, e).0;
         let mut open: Vec<usize> = self.subset.iter().copied().filter(|e| takes(self, *e, level)).collect();
         // All of the subset throttled, calls spill: over the zone by random draws, while few own calls are
         // out for the copy's part (else all copies overdrive all of it); then beyond it, where no level is.
@@ -547,6 +546,13 @@
         if open.is_empty() && !(self.set.prices.handshake > 0.0 && self.beyond.iter().any(out_there)) {
             open.extend(self.beyond.iter().copied().filter(|e| takes(self, *e, 0)));
         }
+        // With nobody sound to wait for, the one that fails least: else a copy whose subset is cold, or fails
+        // as all do, sends nothing at all, and no cold one's turn ever comes.
+        if open.is_empty() && !self.near.iter().chain(&self.beyond).any(|e| sound(self, *e)) {
+            let all = self.near.iter().chain(&self.beyond).copied();
+            let fits = |e: &usize| self.usable(now, *e, pending, scope) && level >= self.standing(now, *e).0;
+            open.extend(all.filter(fits).min_by(|a, b| fault(self, *a).total_cmp(&fault(self, *b))));
+        }
         let clear = self.subset.iter().filter(|e| self.standing(now, **e).0 == 0).count();
         let warned = self.warned.is_some_and(|at| now.since(at) < FAULT_FADE);
         let last_tier = self.set.tier + 1 >= self.set.tiers;
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -1179,6 +1179,44 @@
     (ids, out)
 }
 
+/// Guards a copy whose own zone has but one endpoint, which is cold: its first turn comes after so many own sends, and the
+/// only others have failed some, as where the network does. Something is sent all the same, and so its turn comes, too.
+#[test]
+fn a_cold_zone_beside_faulty_ones_is_no_dead_end() {
+    let mut set = settings();
+    set.prices.cross_zone = 0.1;
+    let far = |n: usize| listing(&format!("e{n}"), "b", 0);
+    let mut host = Host::new(set, vec![far(1), far(2)]);
+    for n in 0..12 {
+        let (id, actions) = host.request(0);
+        host.now = host.now + ms(50);
+        let fails = n % 2 == 0;
+        if !sends(&actions).is_empty() {
+            let again =
+                host.end(&id, 0, if fails { Outcome::ConnectFailed } else { Outcome::Served }, 10, 0.0);
+            if !sends(&again).is_empty() {
+                host.end(&id, 1, Outcome::ConnectFailed, 10, 0.0);
+            }
+        }
+    }
+    let cold = Listing { up_since: Some(host.now), ..listing("e0", "a", 0) };
+    host.members(News::Delta, vec![cold]);
+    let mut sent: Vec<EndpointId> = Vec::new();
+    for _ in 0..60 {
+        let (id, actions) = host.request(0);
+        host.now = host.now + ms(20);
+        let to = sends(&actions);
+        if !to.is_empty() {
+            host.end(&id, 0, Outcome::Served, 10, 0.0);
+        }
+        sent.extend(to);
+    }
+    assert!(sent.len() > 50, "{} of 60", sent.len());
+    assert!(sent.contains(&"e0".into()), "the cold one had its turn");
+    let cold = sent.iter().filter(|e| **e == "e0".into()).count();
+    assert!(cold < 40, "and no more than it bears: {cold} of {}", sent.len());
+}
+
 /// Guards requests under way: they keep the class that they came with, whatever becomes of its name; new ones go by the
 /// new one. What stays as it was keeps its id.
 #[test]
