Go on where nobody reads the log any more

Seen (probe: tests/sidecar/main.rs, it_serves_on_where..., on the program before): once the reader of standard error is gone, the first line written ends the task that writes it ("failed printing to stderr" is what eprintln! panics with). The watch on discovery is lost with its first end and never opened again ("the sidecar opens a watch: Timeout"). By reading, not seen: SIGTERM would end the process at its line of counts, with what it had taken unanswered. Ruled out: SIGPIPE (the runtime has it ignored; the process goes on serving). At fault: eprintln! in every file of src/bin/rowanway. A line is now one write, and what comes of it is left. The test fails without the change (tried).

--- a/src/bin/rowanway/admin.rs
+++ b/src/bin/rowanway/admin.rs
@@ -45,7 +45,7 @@
             match listener.accept().await {
                 Ok((stream, _)) => break stream,
                 Err(failure) => {
-                    eprintln!("rowanway: a call could not be accepted: {failure}");
+                    log!("a call could not be accepted: {failure}");
                     sleep(ACCEPT_PAUSE).await;
                 }
             }
--- a/src/bin/rowanway/counters.rs
+++ b/src/bin/rowanway/counters.rs
@@ -206,8 +206,8 @@
         return;
     }
     let Census { open, held, out, clear, gapping, discarding, informed, avoided } = census;
-    eprintln!(
-        "rowanway: counts {line}; now open={open} held={held} out={out} callers={callers} \
+    log!(
+        "counts {line}; now open={open} held={held} out={out} callers={callers} \
          connections={endpoints} clear={clear} gapping={gapping} discarding={discarding} informed={informed} avoided={avoided}"
     );
 }
--- a/src/bin/rowanway/discovery.rs
+++ b/src/bin/rowanway/discovery.rs
@@ -97,7 +97,7 @@
 /// again is the decision module's business.
 pub async fn watch(node: Handle, source: Source, since: Option<u64>) {
     let failure = follow(&node, source, since).await;
-    eprintln!("rowanway: the watch on discovery ended: {failure}");
+    log!("the watch on discovery ended: {failure}");
     node.news_failed(source);
 }
 
@@ -107,7 +107,7 @@
     loop {
         let failure = follow(&node, source, node.list_version(source)).await;
         if !failure.is::<tokio::time::error::Elapsed>() {
-            eprintln!("rowanway: the watch on discovery's agent ended: {failure}");
+            log!("the watch on discovery's agent ended: {failure}");
         }
         sleep(AGENT_PAUSE).await;
     }
@@ -120,7 +120,7 @@
         Err(failure) => Err(failure),
     };
     if let Err(failure) = told {
-        eprintln!("rowanway: discovery gave no list: {failure}");
+        log!("discovery gave no list: {failure}");
         node.news_failed(source);
     }
 }
--- a/src/bin/rowanway/main.rs
+++ b/src/bin/rowanway/main.rs
@@ -1,5 +1,13 @@
 //! The sidecar: one program that balances its callers' requests over endpoints, as the decision module says.
 
+/// Writes a line of the log, at once and whole. One that nobody reads any more is no reason to stop.
+macro_rules! log {
+    ($($text:tt)*) => {{
+        let line = format!("rowanway: {}\n", format_args!($($text)*));
+        let _ = std::io::Write::write_all(&mut std::io::stderr(), line.as_bytes());
+    }};
+}
+
 mod admin;
 mod bodies;
 mod config;
@@ -43,7 +51,7 @@
     match end {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
-            eprintln!("rowanway: {problem}");
+            log!("{problem}");
             ExitCode::FAILURE
         }
     }
@@ -71,22 +79,22 @@
     let _reloads = Task::spawn(reload_on(node.clone(), reload));
     let _calls = admin.map(|listener| {
         match listener.local_addr() {
-            Ok(address) => eprintln!("rowanway: {name} is called at {address}"),
-            Err(failure) => eprintln!("rowanway: {name} is called at an address unknown: {failure}"),
+            Ok(address) => log!("{name} is called at {address}"),
+            Err(failure) => log!("{name} is called at an address unknown: {failure}"),
         }
         Task::spawn(admin::serve(node.clone(), listener))
     });
-    eprintln!("rowanway: {name} listens on {listen}");
+    log!("{name} listens on {listen}");
     if let Some(before) = before {
         let taken = tokio::select! {
             taken = upgrade::take_over(&node, before) => taken,
             _ = stop.recv() => {
-                eprintln!("rowanway: {name} stops before it has taken over");
+                log!("{name} stops before it has taken over");
                 return Ok(());
             }
         };
         taken.map_err(|e| format!("the process before: {e}"))?;
-        eprintln!("rowanway: {name} takes over from the process before");
+        log!("{name} takes over from the process before");
     }
     let offer = match folder.map(|folder| Ok((folder, listener.as_fd().try_clone_to_owned()?))).transpose() {
         Ok(offer) => offer.map(|(folder, fd)| Task::spawn(upgrade::offer(node.clone(), folder, fd.into()))),
@@ -94,7 +102,7 @@
     };
     serve(&node, listener, offer, &mut stop).await;
     counters::tell(&node);
-    eprintln!("rowanway: {name} has stopped");
+    log!("{name} has stopped");
     Ok(())
 }
 
@@ -104,7 +112,7 @@
     while hangup.recv().await.is_some() {
         if let Err(problem) = Config::from_environment().and_then(|config| node.reload(config)) {
             node.borrow().figures.reload_errors += 1;
-            eprintln!("rowanway: the configuration stays as it was: {problem}");
+            log!("the configuration stays as it was: {problem}");
         }
     }
 }
@@ -145,6 +153,6 @@
         }
     };
     if timeout_at(end, all_gone).await.is_err() {
-        eprintln!("rowanway: some connections were still open at the last moment");
+        log!("some connections were still open at the last moment");
     }
 }
--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -269,7 +269,7 @@
             if fixed.is_empty() { String::new() } else { format!("; only a restart takes over: {fixed}") };
         let settings =
             if changed.is_empty() { "stay".into() } else { format!("change in {}", changed.join(", ")) };
-        eprintln!("rowanway: configuration read again: discovery {discovery}, settings {settings}{restart}");
+        log!("configuration read again: discovery {discovery}, settings {settings}{restart}");
         Ok(())
     }
 
@@ -368,7 +368,7 @@
 
     /// The deadline has passed with no answer from the module, which ought not to happen; the caller answers.
     pub fn overdue(&self, request: &RequestId) {
-        eprintln!("rowanway: request {} was still open at its deadline", request.0);
+        log!("request {} was still open at its deadline", request.0);
         self.client_gone(request);
     }
 
@@ -452,7 +452,7 @@
     pub fn drain(&self, out: bool) {
         let draining = self.borrow().callers.are_drained();
         if out != draining {
-            eprintln!("rowanway: {}", if out { "drains by hand" } else { "is back from its drain" });
+            log!("{}", if out { "drains by hand" } else { "is back from its drain" });
         }
         if out && !draining {
             let steps = Task::spawn(server::drain(self.clone()));
@@ -468,7 +468,7 @@
 
     /// An endpoint is taken out or back in, here or by the other process.
     pub fn banned(&self, endpoint: EndpointId, out: bool) {
-        eprintln!("rowanway: endpoint {} is {} by hand", endpoint.0, if out { "taken out" } else { "back" });
+        log!("endpoint {} is {} by hand", endpoint.0, if out { "taken out" } else { "back" });
         self.tell(Event::Banned { endpoint: endpoint.clone(), out });
         let node = self.borrow();
         if let Some(folder) = &node.folder {
@@ -677,8 +677,8 @@
                 }
             }
             // The module sends none.
-            Action::Tell { .. } => eprintln!("rowanway: no peers here"),
-            Action::Log(text) => eprintln!("rowanway: {text}"),
+            Action::Tell { .. } => log!("no peers here"),
+            Action::Log(text) => log!("{text}"),
         }
     }
 
--- a/src/bin/rowanway/server.rs
+++ b/src/bin/rowanway/server.rs
@@ -238,7 +238,7 @@
         match accepted {
             Ok((stream, _)) => start(&node, stream),
             Err(failure) => {
-                eprintln!("rowanway: a connection could not be accepted: {failure}");
+                log!("a connection could not be accepted: {failure}");
                 sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/src/bin/rowanway/upgrade.rs
+++ b/src/bin/rowanway/upgrade.rs
@@ -135,7 +135,7 @@
                 None
             }
             Err(failure) => {
-                eprintln!("rowanway: the file of endpoints taken out is ignored: {failure}");
+                log!("the file of endpoints taken out is ignored: {failure}");
                 None
             }
         }
@@ -158,7 +158,7 @@
         let kept = keep(&aside);
         self.is_behind.set(kept.is_err());
         if let Err(failure) = kept {
-            eprintln!("rowanway: an upgrade will not know what is taken out: {failure}");
+            log!("an upgrade will not know what is taken out: {failure}");
         }
     }
 }
@@ -176,7 +176,7 @@
     match receive(&stream) {
         Ok(listener) => Some(Before { listener, stream }),
         Err(failure) => {
-            eprintln!("rowanway: the process before hands nothing over: {failure}");
+            log!("the process before hands nothing over: {failure}");
             None
         }
     }
@@ -222,7 +222,7 @@
     tokio::task::spawn_local(async move {
         talk(&twin, number, stream, words).await;
         twin.part(number);
-        eprintln!("rowanway: the process before has ended");
+        log!("the process before has ended");
     });
     let is_alone = || !node.borrow().twins.others.contains_key(&number);
     while !node.borrow().takes_callers() && !is_alone() {
@@ -243,7 +243,7 @@
     };
     let mut asked = match bind() {
         Ok(asked) => asked,
-        Err(failure) => return eprintln!("rowanway: no hand-over from this process: {failure}"),
+        Err(failure) => return log!("no hand-over from this process: {failure}"),
     };
     loop {
         let Ok((stream, _)) = asked.accept().await else {
@@ -251,7 +251,7 @@
             continue;
         };
         if let Err(failure) = give(&stream, &listener).await {
-            eprintln!("rowanway: the callers' socket could not be handed over: {failure}");
+            log!("the callers' socket could not be handed over: {failure}");
             continue;
         }
         let (number, words) = node.meet(true);
@@ -272,10 +272,10 @@
             return server::accept_last(&node, listener);
         }
         if back {
-            eprintln!("rowanway: the process after has ended; callers are let in here again");
+            log!("the process after has ended; callers are let in here again");
             asked = match bind() {
                 Ok(again) => again,
-                Err(failure) => return eprintln!("rowanway: no hand-over from this process: {failure}"),
+                Err(failure) => return log!("no hand-over from this process: {failure}"),
             };
         }
     }
@@ -329,7 +329,7 @@
             match serde_json::from_slice(&line) {
                 Ok(word) => node.hear(number, word),
                 // Another version of the program may say more than this one understands.
-                Err(failure) => eprintln!("rowanway: the other process says what is not known: {failure}"),
+                Err(failure) => log!("the other process says what is not known: {failure}"),
             }
         }
     };
@@ -385,7 +385,7 @@
             Word::Serving => {
                 callers.go_over();
                 pool.keep_idle(false);
-                eprintln!("rowanway: callers go over to the process after");
+                log!("callers go over to the process after");
             }
         }
     }
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -16,7 +16,7 @@
 mod watches;
 
 use serde_json::json;
-use std::io::Read;
+use std::io::{BufRead, BufReader, Read};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::channel;
@@ -444,6 +444,30 @@
     assert_eq!((count("failed"), count("served"), count("connects")), (1, 0, 1), "{:?}", sidecar.log());
 }
 
+/// Guards service against the end of whoever reads the log: lines that cannot be written are left out, and a stop is one in
+/// order.
+#[test]
+fn it_serves_on_where_nobody_reads_its_log() {
+    let endpoint = Endpoint::start(|_| ok("x"));
+    let discovery = Discovery::start();
+    let path = file(&with_admin(config(discovery.address, &serving(&[&endpoint]))).to_string());
+    let mut child = command().env("ROUTER_CONFIG", &path).spawn().expect("the program starts");
+    let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines().map_while(Result::ok);
+    let listens = lines.find_map(|line| line.split_once("listens on ")?.1.parse().ok());
+    drop(lines);
+    let mut client = Client::connect(listens.expect("it tells where it listens"));
+    assert_eq!(client.ask(&get("5")).status(), 200);
+    for _ in 0..2 {
+        drop(discovery.next_watch()); // a line each
+    }
+    signal(&child, "HUP");
+    discovery.next_watch();
+    signal(&child, "TERM");
+    assert_eq!(client.ask(&get("5")).status(), 200, "its connections serve on for a while");
+    assert!(child.wait().expect("it ends").success());
+    std::fs::remove_file(path).expect("the file goes");
+}
+
 /// Guards callers while another sidecar is down too: after SIGTERM none is sent here any more, but the connections that
 /// they have still serve for a while, and what comes on them is answered well before the sidecar may be killed.
 #[test]
