--- a/tests/sidecar/crossings.rs
+++ b/tests/sidecar/crossings.rs
@@ -8,7 +8,7 @@
 use std::io::{BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::os::unix::net::UnixStream;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::sync::Mutex;
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::time::Duration;
@@ -253,69 +253,94 @@
     assert_eq!(ends, 1);
 }
 
+/// A sidecar over an endpoint that answers as told, with a few retries earned, which can be given other settings.
+struct Retuned {
+    told: Told,
+    sidecar: Sidecar,
+    discovery: Discovery,
+    watch: Watch,
+    config: Value,
+    path: PathBuf,
+}
+
+impl Retuned {
+    fn start() -> Self {
+        let (told, discovery) = (Told::start(), Discovery::start());
+        let config = with_admin(config(discovery.address, &serving(&[&told.endpoint])));
+        let path = file(&config.to_string());
+        let sidecar = Sidecar::start_with(&path);
+        let watch = discovery.next_watch();
+        told.earns_retries(&mut sidecar.client());
+        Retuned { told, sidecar, discovery, watch, config, path }
+    }
+
+    /// A client whose request is out at the endpoint.
+    fn asks(&self, request: &str) -> Client {
+        let mut client = self.sidecar.client();
+        client.write(request);
+        self.told.endpoint.next_request();
+        client
+    }
+
+    fn lists(&mut self, line: &str) {
+        self.watch.says(&self.discovery, line);
+    }
+
+    fn retunes(&mut self, change: impl FnOnce(&mut Vec<Value>)) {
+        change(self.config["settings"]["categories"].as_array_mut().expect("a list"));
+        std::fs::write(&self.path, self.config.to_string()).expect("the file is written");
+        self.sidecar.signal("HUP");
+        awaits("it is taken", || self.sidecar.figure("config_reloads") == Some(1));
+    }
+
+    fn fails(&self) {
+        self.told.does(Does::Answers("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n".into()));
+    }
+}
+
+impl Drop for Retuned {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
 /// Guards an attempt that is out against a new effect from SIGHUP: a request keeps the class that it came with, so that one
 /// that must not run twice is not sent again because others of its name now may.
 #[test]
 fn a_new_effect_does_not_reach_an_attempt_that_is_out() {
-    let (told, other) = (Told::start(), Endpoint::start(|_| ok("other")));
-    let discovery = Discovery::start();
-    let mut config = with_admin(config(discovery.address, &serving(&[&told.endpoint])));
-    let path = file(&config.to_string());
-    let sidecar = Sidecar::start_with(&path);
-    let mut watch = discovery.next_watch();
-    let mut client = sidecar.client();
-    told.earns_retries(&mut client);
-    client.write(&post("unsafe", "9", "x"));
-    told.endpoint.next_request();
-    watch.write_line(&list(42, true, &serving(&[&told.endpoint, &other])));
-    awaits("the other is listed", || sidecar.figure("members") == Some(2));
-    config["settings"]["categories"][1]["effect"] = json!("free");
-    std::fs::write(&path, config.to_string()).expect("the file is written");
-    sidecar.signal("HUP");
-    awaits("it is taken", || sidecar.figure("config_reloads") == Some(1));
-    told.does(Does::Answers("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n".into()));
+    let (mut retuned, other) = (Retuned::start(), Endpoint::start(|_| ok("other")));
+    let mut client = retuned.asks(&post("unsafe", "9", "x"));
+    retuned.lists(&list(42, true, &serving(&[&retuned.told.endpoint, &other])));
+    awaits("the other is listed", || retuned.sidecar.figure("members") == Some(2));
+    retuned.retunes(|classes| classes[1]["effect"] = json!("free"));
+    retuned.fails();
     assert_eq!(client.read().expect("an answer").status(), 502);
     assert_eq!(other.requests(), 0, "it is not sent again");
-    std::fs::remove_file(path).expect("the file goes");
 }
 
 /// Guards attempts that are out against fewer worth levels from SIGHUP: a request keeps its worth among those that are left,
 /// be it retried, or its client gone.
 #[test]
 fn fewer_levels_do_not_reach_an_attempt_that_is_out() {
-    let (told, other) = (Told::start(), Endpoint::start(|_| ok("other")));
-    let discovery = Discovery::start();
-    let mut config = with_admin(config(discovery.address, &serving(&[&told.endpoint])));
-    let path = file(&config.to_string());
-    let sidecar = Sidecar::start_with(&path);
-    let mut watch = discovery.next_watch();
-    let mut client = sidecar.client();
-    told.earns_retries(&mut client);
-    let mut gone = sidecar.client();
-    for client in [&mut client, &mut gone] {
-        client.write(&post("keyed", "9", "x").replace("X-Class", "Idempotency-Key: k\r\nX-Class"));
-        told.endpoint.next_request();
-    }
-    let drains = entry("e0", told.endpoint.address, "DRAINING");
-    watch.write_line(&list(42, false, &[drains]));
-    awaits("it drains", || sidecar.figure("members_unavailable") == Some(1));
-    // Only the least worthy class is left beside theirs.
-    config["settings"]["categories"].as_array_mut().expect("a list").truncate(1);
-    config["settings"]["categories"][0]["worth"] = json!(2.0);
-    std::fs::write(&path, config.to_string()).expect("the file is written");
-    sidecar.signal("HUP");
-    awaits("it is taken", || sidecar.figure("config_reloads") == Some(1));
+    let (mut retuned, other) = (Retuned::start(), Endpoint::start(|_| ok("other")));
+    let keyed = || post("keyed", "9", "x").replace("X-Class", "Idempotency-Key: k\r\nX-Class");
+    let (mut client, gone) = (retuned.asks(&keyed()), retuned.asks(&keyed()));
+    retuned.lists(&list(42, false, &[entry("e0", retuned.told.endpoint.address, "DRAINING")]));
+    awaits("it drains", || retuned.sidecar.figure("members_unavailable") == Some(1));
+    retuned.retunes(|classes| {
+        // Only one class is left beside theirs, and worth as much.
+        classes.truncate(1);
+        classes[0]["worth"] = json!(2.0);
+    });
     drop(gone);
-    awaits("it has left", || sidecar.figure("pending") == Some(1));
-    told.does(Does::Answers("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n".into()));
-    told.does(Does::Answers("HTTP/1.1 500 Oh\r\nContent-Length: 0\r\n\r\n".into()));
+    awaits("it has left", || retuned.sidecar.figure("pending") == Some(1));
+    (0..2).for_each(|_| retuned.fails());
     std::thread::sleep(Duration::from_millis(100)); // the retry waits
-    watch.write_line(&list(43, false, &[entry("e1", other.address, "SERVING")]));
+    retuned.lists(&list(43, false, &[entry("e1", other.address, "SERVING")]));
     let answer = client.read().expect("an answer");
     assert_eq!((answer.status(), answer.body.as_slice()), (200, "other".as_bytes()));
     assert_eq!(client.ask(&get("5")).status(), 200, "and all is as ever");
-    assert!(!sidecar.log().iter().any(|line| line.contains("panicked")));
-    std::fs::remove_file(path).expect("the file goes");
+    assert!(!retuned.sidecar.log().iter().any(|line| line.contains("panicked")));
 }
 
 // ---- Idle connections ------------------------------------------------------------------------------------
--- a/tests/sidecar/leaving.rs
+++ b/tests/sidecar/leaving.rs
@@ -98,13 +98,13 @@
     /// Waits until something is so; discovery shows that it is there meanwhile.
     fn awaits(&mut self, what: &str, is_so: impl Fn(&Sidecar) -> bool) {
         awaits(what, || {
-            says(&mut self.watch, &self.discovery, "");
+            self.watch.says(&self.discovery, "");
             is_so(&self.sidecar)
         });
     }
 
     fn says(&mut self, line: &str) {
-        says(&mut self.watch, &self.discovery, line);
+        self.watch.says(&self.discovery, line);
     }
 
     fn has_pending(&mut self, n: usize) {
@@ -121,14 +121,6 @@
     }
 }
 
-/// Tells a line, on the next watch where the sidecar has given one up for its silence.
-fn says(watch: &mut Watch, discovery: &Discovery, line: &str) {
-    if !watch.is_open() {
-        *watch = discovery.next_watch();
-    }
-    watch.write_line(line);
-}
-
 fn id(request: &str) -> String {
     let from = request.split("X-Request-Id: ").nth(1).expect("it has one");
     from.split("\r\n").next().expect("a line").to_string()
--- a/tests/sidecar/stubs.rs
+++ b/tests/sidecar/stubs.rs
@@ -272,8 +272,16 @@
         matches!(self.stream.read(&mut [0]), Ok(0))
     }
 
+    /// Tells a line, on the next watch where the sidecar has given this one up for its silence.
+    pub fn says(&mut self, discovery: &Discovery, line: &str) {
+        if !self.is_open() {
+            *self = discovery.next_watch();
+        }
+        self.write_line(line);
+    }
+
     /// Whether the sidecar has not closed it so far.
-    pub fn is_open(&self) -> bool {
+    fn is_open(&self) -> bool {
         self.stream.set_nonblocking(true).expect("an option");
         let open = self.stream.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
         self.stream.set_nonblocking(false).expect("an option");
