Let callers in at the older process again as soon as the newer one is told to stop

Seen (probe: tests/sidecar/upgrade.rs, callers_come_back_where_the_newer_process_stops, on the program before): a newer process that is told to stop, with one request out, accepts nobody after its last step, and the older one that is still there lets callers in only once the newer one has ended, 10 s later in the test: they wait in the backlog of the socket that both have. Ruled out: the newer one's end (heard at once, and callers are let in then). At fault: src/bin/rowanway/upgrade.rs, hear and offer, which knew of an end alone. Now the newer one says that it stops. The older one also offers to hand over again where the newer one had not served yet.

--- a/src/bin/rowanway/main.rs
+++ b/src/bin/rowanway/main.rs
@@ -31,7 +31,7 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 use tokio::time::{Instant, timeout, timeout_at};
-use upgrade::Folder;
+use upgrade::{Folder, Word};
 
 /// New connections go on coming for up to 0.4 s after the word to stop.
 const STILL_COMING: Duration = Duration::from_millis(600);
@@ -129,6 +129,7 @@
     let counted = longest.min(COUNTED);
     counters::tell(node);
     node.borrow().leave(counted);
+    node.borrow().twins.tell(&Word::Stopping, None);
     let _ = timeout(counted.mul_f64(KEPT_PART), server::accept(node.clone(), &listener)).await;
     node.borrow().callers.stop();
     // It never ends by itself, so this only ever times out.
--- a/src/bin/rowanway/server.rs
+++ b/src/bin/rowanway/server.rs
@@ -179,7 +179,7 @@
         self.gone_over.send_replace(true);
     }
 
-    /// That process is gone; true where callers are let in here again.
+    /// That process is gone, or about to; true where callers are let in here again.
     pub fn come_back(&mut self) -> bool {
         self.gone_over.send_replace(false) && !self.stopping
     }
--- a/src/bin/rowanway/upgrade.rs
+++ b/src/bin/rowanway/upgrade.rs
@@ -57,6 +57,8 @@
     Holds(usize),
     /// The newer process lets callers in from now on.
     Serving,
+    /// This one has been told to stop, and lets nobody in before long.
+    Stopping,
     /// The operators have taken an endpoint out, or back in.
     Ban { endpoint: String, out: bool },
 }
@@ -271,13 +273,11 @@
             // Perhaps the last part of it that is open: what waits there is let in by nobody else.
             return server::accept_last(&node, listener);
         }
-        if back {
-            log!("the process after has ended; callers are let in here again");
-            asked = match bind() {
-                Ok(again) => again,
-                Err(failure) => return log!("no hand-over from this process: {failure}"),
-            };
-        }
+        log!("the process after has ended{}", if back { "; callers are let in here again" } else { "" });
+        asked = match bind() {
+            Ok(again) => again,
+            Err(failure) => return log!("no hand-over from this process: {failure}"),
+        };
     }
 }
 
@@ -387,6 +387,14 @@
                 pool.keep_idle(false);
                 log!("callers go over to the process after");
             }
+            // Told by the process before, it is no news: callers go over from there.
+            Word::Stopping => {
+                let is_after = twins.others.get(&from).is_some_and(|twin| twin.is_after);
+                if is_after && callers.come_back() {
+                    pool.keep_idle(true);
+                    log!("the process after stops; callers are let in here again");
+                }
+            }
         }
     }
 }
--- a/tests/sidecar/upgrade.rs
+++ b/tests/sidecar/upgrade.rs
@@ -162,6 +162,37 @@
     next.awaits_log("the process before has ended");
 }
 
+/// Guards callers where the newer process is told to stop while the older one is there, and has a request out that keeps it
+/// from ending: from then on the older one lets them in, and can be replaced once more.
+#[test]
+fn callers_come_back_where_the_newer_process_stops() {
+    let does = |message: &Message| match message.header("x-class") {
+        Some("unsafe") => Does::Hangs,
+        _ => ok("x"),
+    };
+    let endpoints = [0, 1].map(|_| Endpoint::start(does)); // one for what is out, and one for the rest
+    let place = Place::over(&[&endpoints[0], &endpoints[1]]);
+    let before = place.start(None);
+    let mut next = place.start(Some(before.address));
+    before.awaits_log("callers go over");
+    let mut out = next.client();
+    out.write(&post("unsafe", "10", "x"));
+    awaits("it is out", || next.figure("pending") == Some(1));
+    next.terminate();
+    before.awaits_log("callers are let in here again");
+    awaits("the older one serves", || {
+        assert_eq!(before.client().ask(&get("9")).status(), 200);
+        before.ended("completed", "safe") > Some(0)
+    });
+    assert_eq!(next.figure("pending"), Some(1), "the newer one has not ended");
+    drop(out);
+    assert!(next.wait().success());
+    before.awaits_log("the process after has ended");
+    let third = place.start(Some(before.address));
+    third.awaits_log("takes over from the process before");
+    assert_eq!(before.client().ask(&get("5")).status(), 200);
+}
+
 /// Guards the start against whatever else lies in the folder, or at the other end of the socket there.
 #[test]
 fn what_is_no_process_before_does_not_matter() {
