Wait a moment for the first request of a connection that was just let in as a stop closes it

Then forced (tests/sidecar/crossings.rs, a_stop_answers_callers_that_have_just_been_let_in): twelve callers connect while the program stands still over the last step of a stop, and ask a moment after it has let them in: "None" for the first. Ruled out: the backlog (they are let in), bytes that have come unread (none have: has_unread is asked and says so). At fault: src/bin/rowanway/server.rs, Connection::serve, which closed such a one as one between requests. Now it has 0.3 s from its start for its first request, as where room is made, and closes after that or with its answer.

--- a/src/bin/rowanway/inbound.rs
+++ b/src/bin/rowanway/inbound.rs
@@ -91,6 +91,11 @@
         self.waits.take().into_iter().for_each(Waker::wake);
     }
 
+    /// Whether it was let in so short a time ago that its first request may be on its way.
+    pub fn is_fresh(&self, fresh: Duration) -> bool {
+        !self.asked.get() && Instant::now() < self.opened + fresh
+    }
+
     fn wrote(&self, some: bool) {
         let since = if some { None } else { Some(self.unread_since.get().unwrap_or_else(Instant::now)) };
         self.unread_since.set(since);
@@ -98,7 +103,7 @@
 
     /// When patience with it ends, as things stand; never while a request is open, which has its own time, but where
     /// its answer is not read.
-    pub fn due(&self, head: Duration, idle: Duration, unread: Duration) -> Option<Instant> {
+    pub fn due(&self, head: Duration, fresh: Duration, idle: Duration, unread: Duration) -> Option<Instant> {
         if let Some(since) = self.unread_since.get() {
             return Some(since + unread);
         }
@@ -107,6 +112,7 @@
             Some(_) if self.fault.get().is_some() => None,
             Some(begun) => Some(begun + head),
             None if self.asked.get() => Some(idle_since + idle),
+            None if self.last.get() => Some(self.opened + fresh),
             None => Some(idle_since + head),
         }
     }
--- a/src/bin/rowanway/server.rs
+++ b/src/bin/rowanway/server.rs
@@ -324,8 +324,11 @@
                         break;
                     }
                     () = close.notified() => match traffic.head_since.get() {
-                        // One that was just let in has not been read yet; what has come on it counts as taken.
-                        None if !traffic.closed_idle.get() && sockets::has_unread(&stream) => {
+                        // One that was just let in has not been read yet, or its request is on its way; what has
+                        // come on it counts as taken.
+                        None if !traffic.closed_idle.get()
+                            && (traffic.is_fresh(FRESH) || sockets::has_unread(&stream)) =>
+                        {
                             traffic.last.set(true);
                         }
                         None => connection.as_mut().graceful_shutdown(),
@@ -334,7 +337,8 @@
                         Some(_) => traffic.last.set(true),
                     },
                     () = poll_fn(|context| {
-                        let Some(due) = traffic.due(HEAD_TIME, IDLE_TIME, UNREAD_TIME) else { return Poll::Pending };
+                        let due = traffic.due(HEAD_TIME, FRESH, IDLE_TIME, UNREAD_TIME);
+                        let Some(due) = due else { return Poll::Pending };
                         if time.deadline() != due {
                             time.as_mut().reset(due);
                         }
--- a/tests/sidecar/crossings.rs
+++ b/tests/sidecar/crossings.rs
@@ -11,7 +11,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::Mutex;
 use std::sync::mpsc::{Receiver, Sender, channel};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 const READY: &str = "GET /ready HTTP/1.1\r\nHost: s\r\n\r\n";
 
@@ -115,6 +115,39 @@
     assert!(sidecar.wait().success());
 }
 
+/// Guards the last step of a stop against callers that have just been let in: they have connected while the program stood
+/// still, and ask a moment after it goes on. Those that never ask keep nobody waiting.
+#[test]
+fn a_stop_answers_callers_that_have_just_been_let_in() {
+    let endpoint = Endpoint::start(|_| ok("x"));
+    // A moment is 0.3 s at the most, which a busy machine may take longer for; then all is done once more.
+    awaits("they ask in time", || {
+        let discovery = Discovery::start();
+        let mut sidecar = Sidecar::start(&brief(&discovery, &[&endpoint], Duration::from_secs(3)));
+        let mut idle = sidecar.client();
+        assert_eq!(idle.ask(READY).status(), 200);
+        sidecar.terminate();
+        assert!(idle.is_closed(), "the last step before has begun");
+        sidecar.freezes();
+        let before = sidecar.descriptors();
+        let mut late: Vec<Client> = (0..12).map(|_| sidecar.client()).collect();
+        let mut silent = sidecar.client();
+        std::thread::sleep(Duration::from_millis(900)); // past the last step
+        let from = Instant::now();
+        sidecar.thaws();
+        awaits("they are let in", || sidecar.descriptors() > before + 11);
+        late.iter_mut().for_each(|client| client.write(&get("3")));
+        let in_time = from.elapsed() < Duration::from_millis(250);
+        for client in &mut late {
+            let answer = client.read().map(|answer| answer.status());
+            assert!(matches!(answer, Some(200 | 503)) || !in_time, "{answer:?} {:?}", sidecar.log());
+        }
+        assert!(silent.is_closed());
+        assert!(sidecar.wait().success());
+        in_time
+    });
+}
+
 /// Guards SIGTERM against requests that are held, out, or wait for a retry: each gets its one answer. The process ends as
 /// soon as the last has.
 #[test]
