--- /dev/null
+++ b/lab/src/main.rs
@@ -0,0 +1,3 @@
+//! The command line of the lab.
+
+fn main() {}
--- /dev/null
+++ b/lab/src/measure/mod.rs
@@ -0,0 +1,7 @@
+//! Measurements: what a process uses, and slopes over sizes.
+
+mod process;
+mod slope;
+
+pub use process::{ProcessUsage, thread_processor_time};
+pub use slope::{Point, Slope};
--- /dev/null
+++ b/lab/src/sidecar/mod.rs
@@ -0,0 +1,5 @@
+//! Sidecars under test: real ones, each a process of the built program, and hollow ones, hundreds in one process.
+
+pub mod configuration;
+pub mod hollow;
+pub mod process;
