Test the cold ramp over six sidecar processes with real connections

Cause: the cold ramp had no test over sidecar processes that share an endpoint. Change: six sidecars, five warm endpoints and one that has just started; each sidecar gets 100 requests. The ramp takes an hour, so that it does not move during the test; counts alone are asserted.

--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -5,6 +5,7 @@
 mod bulk;
 mod callers;
 mod churn;
+mod cold_endpoint;
 mod crossings;
 mod customers;
 mod drains;
