Ask discovery at the start where the configuration knows no endpoints

Cause: where discovery is asked, the decision module makes its first call once it was told the endpoints of the configuration, which are old. With no `known` in the configuration it is told nothing, so that the sidecar never calls discovery, and is never ready. Seen with 20 processes restarted at once and 20 s of waiting for the first call. Not the queue at discovery: nothing had called it. Where lists are pushed the agent is called from the first moment. Change: such a process calls discovery as it starts, as one does that replaces another. Tests: `mass_restart.rs`, 20 processes killed and started at once under their addresses, lists pushed and asked for. With known endpoints all are ready and serve while no call is answered, and while a call is refused; each has one call open and is current with the first answer that is a list. With none known, each answer makes one more process ready, before its watch is answered. They fail where /ready waits for discovery, where a process makes two calls at once, and where the list counts only once the watch is open.

--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -180,7 +180,7 @@
 
 impl Handle {
     /// A node that has been told the endpoints in the configuration, and follows discovery as its module decides; at
-    /// once where it replaces a process that serves.
+    /// once where it replaces a process that serves, and where the configuration names no endpoints.
     ///
     /// # Errors
     /// Settings that the decision module cannot work with.
@@ -226,11 +226,14 @@
             let Node { figures, terms, .. } = &mut *node.borrow();
             figures.name(terms.settings.classes.iter().map(|c| c.name.as_str()));
         }
+        // The module asks once what it was told is old, which with nothing told never comes.
+        let knows_nothing = config.known.is_none();
         if let Some(known) = config.known {
             node.borrow().version = Some(known.index);
             node.learn(known, News::Stale);
         }
-        if replaces || node.borrow().terms.settings.discovery == Discovery::Pushed {
+        let is_pushed = node.borrow().terms.settings.discovery == Discovery::Pushed;
+        if replaces || is_pushed || knows_nothing {
             node.borrow().watch(&node);
         }
         if replaces {
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -9,6 +9,7 @@
 mod customers;
 mod drains;
 mod leaving;
+mod mass_restart;
 mod reload;
 mod spoilt;
 mod stubs;
--- a/tests/sidecar/watches.rs
+++ b/tests/sidecar/watches.rs
@@ -8,51 +8,75 @@
 use std::time::{Duration, Instant};
 
 /// A discovery whose every call the test answers itself.
-struct Calls(TcpListener);
+pub struct Calls(TcpListener);
 
 /// One call of it, and the connection that it came on.
-struct Call {
-    asked: String,
+pub struct Call {
+    pub asked: String,
     stream: TcpStream,
 }
 
-const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+pub const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 impl Calls {
-    fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    pub fn start() -> Self {
+        Self::at("127.0.0.1:0".parse().expect("an address"))
+    }
+
+    /// One that listens there.
+    pub fn at(address: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).expect("a port");
         listener.set_nonblocking(true).expect("an option");
         Calls(listener)
     }
 
-    fn address(&self) -> SocketAddr {
+    pub fn address(&self) -> SocketAddr {
         self.0.local_addr().expect("an address")
     }
 
-    fn next(&self) -> Call {
+    /// The calls that have come and that the sidecar has not given up, but for those returned before.
+    pub fn waiting(&self) -> Vec<Call> {
+        let streams = std::iter::from_fn(|| self.0.accept().ok());
+        let calls: Vec<Call> = streams.filter_map(|(stream, _)| Call::read(stream)).collect();
+        calls.into_iter().filter(Call::is_open).collect()
+    }
+
+    pub fn next(&self) -> Call {
         let mut call = None;
         awaits("a call", || {
             call = self.0.accept().ok();
             call.is_some()
         });
-        let (stream, _) = call.expect("a call");
-        stream.set_nonblocking(false).expect("an option");
-        let mut reader = BufReader::new(stream);
-        let asked = read_message(&mut reader).expect("a request").first;
-        Call { asked, stream: reader.into_inner() }
+        Call::read(call.expect("a call").0).expect("a request")
     }
 }
 
 impl Call {
-    fn follows(&self, since: u64) -> bool {
+    /// Reads the request on a connection; none where it was closed before.
+    fn read(stream: TcpStream) -> Option<Self> {
+        stream.set_nonblocking(false).expect("an option");
+        let mut reader = BufReader::new(stream);
+        let asked = read_message(&mut reader)?.first;
+        Some(Call { asked, stream: reader.into_inner() })
+    }
+
+    /// Whether the sidecar has not closed it so far.
+    pub fn is_open(&self) -> bool {
+        self.stream.set_nonblocking(true).expect("an option");
+        let open = self.stream.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+        self.stream.set_nonblocking(false).expect("an option");
+        open
+    }
+
+    pub fn follows(&self, since: u64) -> bool {
         self.asked.starts_with(&format!("GET /v1/endpoints?follow=1&since={since} "))
     }
 
-    fn writes(&mut self, text: &str) {
+    pub fn writes(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).expect("it is open");
     }
 
-    fn chunk(&mut self, text: &str) {
+    pub fn chunk(&mut self, text: &str) {
         self.writes(&format!("{:x}\r\n{text}\r\n", text.len()));
     }
 
