Test that a crowd leaves descriptors for discovery, endpoints and operators

Cause: nothing held the sidecar at its limit while discovery was away, which is when the watch's own descriptor is free to be taken. Change: `descriptor_pressure.rs`, the process limited to 256 descriptors by the system. A hundred requests stay open at their endpoints, 212 connections come again whenever they are closed, and discovery goes down, with 300 more connections before it is back with another list. Meanwhile READY and STATS are answered and a request is served; then the first call has the list current and a request reaches the endpoint that it names, and no descriptor was ever missing. In the third test as many requests are held as callers may have, and each is served once endpoints are listed.

--- /dev/null
+++ b/tests/sidecar/descriptor_pressure.rs
@@ -0,0 +1,239 @@
+//! A sidecar that is short of descriptors, as idle clients and open requests hold all that they may.
+
+use crate::stubs::*;
+use crate::watches::{Calls, HEAD};
+use serde_json::{Value, json};
+use std::io::{BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::{JoinHandle, sleep, spawn};
+use std::time::Duration;
+
+/// Descriptors that the process may hold, by its configuration and by the system.
+const LIMIT: usize = 256;
+/// Requests that stay open at their endpoint: each holds its caller's connection and the endpoint's.
+const OPEN_REQUESTS: usize = 100;
+/// Enough for the requests to be spread thinly.
+const ENDPOINTS: usize = 50;
+/// Requests held at least, most of what callers may have.
+const HELD_REQUESTS: usize = 120;
+/// Descriptors in use from which on the sidecar is short: idle clients have what the open requests leave.
+const SHORT: usize = 205;
+/// Clients that connect, ask once and stay, more than there can be.
+const IDLE_CLIENTS: usize = 150;
+/// Clients that connect and say nothing.
+const SILENT_CLIENTS: usize = 50;
+/// Connections to the operators' address that hold half a call. With as many as there can be, one would close another,
+/// and a call as well that is slow to be written.
+const HALF_CALLS: usize = 12;
+/// Connections that take the place of closed ones until what was freed is sure to be taken.
+const TURNOVER: usize = 300;
+/// Pause between two rounds over the connections, for the sidecar to have a share of the machine.
+const ROUND_PAUSE: Duration = Duration::from_millis(5);
+/// What an open request carries.
+const STAYS: &[u8] = b"stays";
+
+/// A connection that is opened again whenever the sidecar closes it.
+struct Idler {
+    to: SocketAddr,
+    says: &'static str,
+    stream: Option<TcpStream>,
+}
+
+impl Idler {
+    fn new(to: SocketAddr, says: &'static str) -> Self {
+        Idler { to, says, stream: None }
+    }
+
+    fn is_open(&mut self) -> bool {
+        let Some(stream) = &mut self.stream else { return false };
+        match stream.read(&mut [0; 512]) {
+            Ok(n) => n > 0,
+            Err(e) => e.kind() == ErrorKind::WouldBlock,
+        }
+    }
+
+    fn connect(&mut self) {
+        let mut stream = TcpStream::connect(self.to).expect("the backlog has room");
+        let _ = stream.write_all(self.says.as_bytes()); // it may be closed again already
+        stream.set_nonblocking(true).expect("an option");
+        self.stream = Some(stream);
+    }
+}
+
+/// Connections that take every descriptor that the sidecar lets them have, for as long as this lives.
+struct Crowd {
+    ends: Arc<AtomicBool>,
+    connected: Arc<AtomicUsize>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Crowd {
+    fn gather(sidecar: &Sidecar) -> Self {
+        let asks = "GET /ready HTTP/1.1\r\nHost: s\r\n\r\n";
+        let kinds = [
+            (IDLE_CLIENTS, sidecar.address, asks),
+            (SILENT_CLIENTS, sidecar.address, ""),
+            (HALF_CALLS, sidecar.admin(), "STA"),
+        ];
+        let idlers = kinds.into_iter().flat_map(|(n, to, says)| (0..n).map(move |_| Idler::new(to, says)));
+        let mut idlers: Vec<Idler> = idlers.collect();
+        let (ends, connected) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicUsize::new(0)));
+        let (told, count) = (ends.clone(), connected.clone());
+        let thread = spawn(move || {
+            while !told.load(Ordering::Relaxed) {
+                for idler in idlers.iter_mut().filter_map(|idler| (!idler.is_open()).then_some(idler)) {
+                    idler.connect();
+                    count.fetch_add(1, Ordering::Relaxed);
+                }
+                sleep(ROUND_PAUSE);
+            }
+        });
+        Crowd { ends, connected, thread: Some(thread) }
+    }
+
+    /// Waits until so many further connections have been opened that none is left that could be.
+    fn fills_up(&self, sidecar: &Sidecar) {
+        let before = self.connected.load(Ordering::Relaxed);
+        awaits("the crowd has all", || {
+            self.connected.load(Ordering::Relaxed) >= before + TURNOVER && sidecar.descriptors() >= SHORT
+        });
+    }
+}
+
+impl Drop for Crowd {
+    fn drop(&mut self) {
+        self.ends.store(true, Ordering::Relaxed);
+        let _ = self.thread.take().map(JoinHandle::join);
+    }
+}
+
+/// A sidecar with so few descriptors over these endpoints.
+fn limited(discovery: &Calls, endpoints: &[&Endpoint], mode: &str) -> Sidecar {
+    let mut config = with_admin(config(discovery.address(), &serving(endpoints)));
+    config["limits"]["sockets"] = json!(LIMIT);
+    config["settings"]["discovery"] = json!(mode);
+    for class in config["settings"]["categories"].as_array_mut().expect("classes") {
+        class["objectiveNs"] = json!(120_000_000_000u64);
+        class["hardLimitNs"] = json!(120_000_000_000u64);
+    }
+    let path = file(&config.to_string());
+    let sidecar = Sidecar::limited(&path, LIMIT);
+    std::fs::remove_file(path).expect("the file goes");
+    sidecar
+}
+
+/// Opens requests that their endpoints do not answer.
+fn open_requests(sidecar: &Sidecar, endpoints: &[Endpoint]) -> Vec<Client> {
+    let text = std::str::from_utf8(STAYS).expect("text");
+    let open = |_| {
+        let mut client = sidecar.client();
+        client.write(&post("unsafe", "100", text));
+        client
+    };
+    let clients = (0..OPEN_REQUESTS).map(open).collect();
+    let mut seen = 0;
+    awaits("the requests are at their endpoints", || {
+        seen += endpoints.iter().map(Endpoint::requests).sum::<usize>();
+        seen == OPEN_REQUESTS
+    });
+    clients
+}
+
+/// Asks once more on a new connection where one was closed or reset unread, as clients do.
+fn is_served(sidecar: &Sidecar) {
+    awaits("a request is served", || {
+        let mut stream = TcpStream::connect(sidecar.address).expect("it accepts");
+        stream.set_read_timeout(Some(LONG)).expect("a time-out");
+        let is_written = stream.write_all(get("20").as_bytes()).is_ok();
+        let answer = read_message(&mut BufReader::new(stream));
+        is_written && answer.is_some_and(|answer| answer.status() == 200)
+    });
+}
+
+fn operators_are_answered(sidecar: &Sidecar) {
+    assert!(sidecar.says_yes("READY"));
+    assert_eq!(sidecar.figure("pending"), Some(OPEN_REQUESTS as u64));
+}
+
+/// Guards the descriptors that callers may not have: while discovery is down they take all others, what its watch held
+/// among them. Operators, requests and endpoints get theirs all the while, and the watch once discovery is back.
+fn a_crowd_leaves_descriptors_for_the_rest(network_address: &str, mode: &str) {
+    // No other test uses its network address, so that the port stays free while it is down.
+    let start = format!("{network_address}:0").parse().expect("an address");
+    let answer = |message: &Message| if message.body == STAYS { Does::Hangs } else { ok("") };
+    let endpoints: Vec<Endpoint> = (0..ENDPOINTS).map(|_| Endpoint::start(answer)).collect();
+    let discovery = Calls::at(start);
+    let sidecar = limited(&discovery, &endpoints.iter().collect::<Vec<_>>(), mode);
+    let mut watch = discovery.next();
+    watch.writes(HEAD);
+    let _open = open_requests(&sidecar, &endpoints);
+    let crowd = Crowd::gather(&sidecar);
+    crowd.fills_up(&sidecar);
+    let address = discovery.address();
+    drop((discovery, watch));
+    sidecar.awaits_log("the watch on discovery");
+    crowd.fills_up(&sidecar);
+    operators_are_answered(&sidecar);
+    is_served(&sidecar);
+    let started = Endpoint::start(|_| ok(""));
+    let changed: Vec<Value> = vec![entry("started", started.address, "SERVING")];
+    let discovery = Calls::at(address);
+    let mut watch = discovery.next_open();
+    assert!(watch.follows(41), "{}", watch.asked);
+    watch.writes(HEAD);
+    watch.chunk(&format!("{}\n", list(42, true, &changed)));
+    awaits("the list is current", || sidecar.figure("members") == Some(1));
+    crowd.fills_up(&sidecar);
+    operators_are_answered(&sidecar);
+    is_served(&sidecar);
+    started.next_request();
+    let log = sidecar.log().join("\n");
+    assert!(!log.contains("Too many open files"), "{log}");
+}
+
+#[test]
+fn a_crowd_leaves_descriptors_for_the_rest_while_an_agent_is_down() {
+    a_crowd_leaves_descriptors_for_the_rest("127.21.0.1", "automatic");
+}
+
+#[test]
+fn a_crowd_leaves_descriptors_for_the_rest_while_discovery_is_down() {
+    a_crowd_leaves_descriptors_for_the_rest("127.21.0.2", "subscribe");
+}
+
+/// Guards the descriptors of attempts against the requests that need them: with as many requests held as callers may
+/// have, each is served once an endpoint is listed.
+#[test]
+fn held_requests_leave_descriptors_for_their_attempts() {
+    let discovery = Calls::start();
+    let sidecar = limited(&discovery, &[], "automatic");
+    let mut watch = discovery.next();
+    watch.writes(HEAD);
+    let connect = |_| {
+        let mut client = sidecar.client();
+        client.write(&get("100"));
+        client
+    };
+    // All have come before it reads the first.
+    sidecar.freezes();
+    let mut clients: Vec<Client> = (0..LIMIT).map(connect).collect();
+    sidecar.thaws();
+    // Each has been refused or closed by then, or is held.
+    awaits("all have been read", || {
+        let silent = clients.iter().filter(|client| client.is_silent()).count();
+        sidecar.figure("pending") == Some(silent as u64)
+    });
+    clients.retain(Client::is_silent);
+    assert!(clients.len() >= HELD_REQUESTS, "{}", clients.len());
+    let endpoints: Vec<Endpoint> = (0..ENDPOINTS).map(|_| Endpoint::start(|_| ok(""))).collect();
+    if !watch.is_open() {
+        watch = discovery.next_open();
+        watch.writes(HEAD);
+    }
+    watch.chunk(&format!("{}\n", list(42, false, &serving(&endpoints.iter().collect::<Vec<_>>()))));
+    for client in &mut clients {
+        assert_eq!(client.read().map(|answer| answer.status()), Some(200));
+    }
+}
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -7,6 +7,7 @@
 mod churn;
 mod crossings;
 mod customers;
+mod descriptor_pressure;
 mod drains;
 mod leaving;
 mod mass_restart;
--- a/tests/sidecar/stubs.rs
+++ b/tests/sidecar/stubs.rs
@@ -87,6 +87,15 @@
         self.read().expect("a whole answer")
     }
 
+    /// Whether nothing has come on it so far that was not read, nor its end.
+    pub fn is_silent(&self) -> bool {
+        let stream = self.stream.get_ref();
+        stream.set_nonblocking(true).expect("an option");
+        let silent = stream.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+        stream.set_nonblocking(false).expect("an option");
+        silent
+    }
+
     /// Whether the sidecar has closed the connection, with nothing more on it.
     pub fn is_closed(&mut self) -> bool {
         let mut rest = Vec::new();
--- a/tests/sidecar/watches.rs
+++ b/tests/sidecar/watches.rs
@@ -41,6 +41,16 @@
         calls.into_iter().filter(Call::is_open).collect()
     }
 
+    /// The call that waits now, or the next that comes.
+    pub fn next_open(&self) -> Call {
+        let mut call = None;
+        awaits("a call", || {
+            call = self.waiting().pop();
+            call.is_some()
+        });
+        call.expect("a call")
+    }
+
     pub fn next(&self) -> Call {
         let mut call = None;
         awaits("a call", || {
