Let the test of requests held over a drain, stop or upgrade see late sends

Cause: nor_one_that_the_module_holds_over_these passed with its guard taken out (`Owed::drop` in server.rs without `client_gone`). The client that stays was the first in the queue: its answer came before the gap after its send let those behind it go, and the test looked at the endpoint right then. Change: the client that stays asks last, so that all whose clients have left would be sent before it. What is asserted is as it was.

--- a/tests/sidecar/leaving.rs
+++ b/tests/sidecar/leaving.rs
@@ -397,10 +397,10 @@
     for word in CHANGES {
         let folder = folder();
         let mut holds = Holds::start(|_| {}, |config| Sidecar::start_in(&folder, config));
-        let request = get("60");
-        let mut stays = Waits::with(&holds.sidecar, &request);
         let leave: Vec<_> =
             WAYS.into_iter().map(|how| (how, Waits::with(&holds.sidecar, &get("60")))).collect();
+        let request = get("60");
+        let mut stays = Waits::with(&holds.sidecar, &request); // the last, so that those before it would go first
         holds.has_pending(9);
         let next = changes(word, &holds.sidecar, &folder, &holds.endpoint);
         leave.into_iter().for_each(|(how, client)| client.leaves(how));
