Test that no further attempt begins after a client's close

Cause: `leaving.rs` forces the close while a first attempt is held or dialled. Nothing forced it with a further attempt held or dialled over a drain, a stop or an upgrade, with an attempt that may not be called off and fails later, with a request that waits for a throttled endpoint's gap, with a close that is read in the same moment as its request, or with a caller in an earlier tier that dies. Change: `client_cancellation.rs` has these, with a whole close, a half-close and a reset. In each a request whose client stays is served from the same place. The sidecar's figures, the stubs' closes and the system's list of sockets say when to go on; only the stand-in that makes the gap long waits for a time. `leaving.rs` shows its stand-ins to the new file.

--- a/tests/sidecar/leaving.rs
+++ b/tests/sidecar/leaving.rs
@@ -12,20 +12,20 @@
 
 /// How a client leaves, and what it has written behind its request by then.
 #[derive(Clone, Copy, Debug)]
-enum Leaves {
+pub enum Leaves {
     ByItsEnd(Behind),
     ByReset(Behind),
 }
 
 #[derive(Clone, Copy, Debug)]
-enum Behind {
+pub enum Behind {
     Nothing,
     HalfAHead,
     AWholeRequest,
     MoreThanIsRead,
 }
 
-const WAYS: [Leaves; 8] = [
+pub const WAYS: [Leaves; 8] = [
     Leaves::ByItsEnd(Behind::Nothing),
     Leaves::ByItsEnd(Behind::HalfAHead),
     Leaves::ByItsEnd(Behind::AWholeRequest),
@@ -37,17 +37,17 @@
 ];
 
 /// A client whose request, or what there is of it, is written.
-struct Waits(TcpStream);
+pub struct Waits(pub TcpStream);
 
 impl Waits {
-    fn with(sidecar: &Sidecar, request: &str) -> Self {
+    pub fn with(sidecar: &Sidecar, request: &str) -> Self {
         let mut stream = TcpStream::connect(sidecar.address).expect("it accepts");
         stream.set_read_timeout(Some(LONG)).expect("a time-out");
         stream.write_all(request.as_bytes()).expect("it is written");
         Waits(stream)
     }
 
-    fn leaves(mut self, how: Leaves) {
+    pub fn leaves(mut self, how: Leaves) {
         let (Leaves::ByItsEnd(behind) | Leaves::ByReset(behind)) = how;
         let text = match behind {
             Behind::Nothing => String::new(),
@@ -63,26 +63,26 @@
         }
     }
 
-    fn is_served(&mut self) -> bool {
+    pub fn is_served(&mut self) -> bool {
         let mut start = [0; 13];
         self.0.read_exact(&mut start).is_ok() && &start == b"HTTP/1.1 200 "
     }
 }
 
 /// One that knows of no endpoint, so that all is held, and what makes it send.
-struct Holds {
-    sidecar: Sidecar,
-    endpoint: Endpoint,
+pub struct Holds {
+    pub sidecar: Sidecar,
+    pub endpoint: Endpoint,
     watch: Watch,
     discovery: Discovery,
 }
 
 impl Holds {
-    fn with(change: impl FnOnce(&mut Value)) -> Self {
+    pub fn with(change: impl FnOnce(&mut Value)) -> Self {
         Self::start(change, Sidecar::start)
     }
 
-    fn start(change: impl FnOnce(&mut Value), start: impl FnOnce(&Value) -> Sidecar) -> Self {
+    pub fn start(change: impl FnOnce(&mut Value), start: impl FnOnce(&Value) -> Sidecar) -> Self {
         let discovery = Discovery::start();
         let mut config = with_admin(config(discovery.address, &[]));
         config["settings"]["categories"].as_array_mut().expect("a list").iter_mut().for_each(|class| {
@@ -96,32 +96,32 @@
     }
 
     /// Waits until something is so; discovery shows that it is there meanwhile.
-    fn awaits(&mut self, what: &str, is_so: impl Fn(&Sidecar) -> bool) {
+    pub fn awaits(&mut self, what: &str, is_so: impl Fn(&Sidecar) -> bool) {
         awaits(what, || {
             self.watch.says(&self.discovery, "");
             is_so(&self.sidecar)
         });
     }
 
-    fn says(&mut self, line: &str) {
+    pub fn says(&mut self, line: &str) {
         self.watch.says(&self.discovery, line);
     }
 
-    fn has_pending(&mut self, n: usize) {
+    pub fn has_pending(&mut self, n: usize) {
         self.awaits(&format!("{n} are pending"), |sidecar| sidecar.figure("pending") == Some(n as u64));
     }
 
-    fn lets_go(&mut self) {
+    pub fn lets_go(&mut self) {
         self.says(&list(42, false, &serving(&[&self.endpoint])));
     }
 
     /// What the endpoint has seen of the ids of these requests, when all are answered.
-    fn saw(&self) -> Vec<String> {
+    pub fn saw(&self) -> Vec<String> {
         self.endpoint.messages().iter().filter_map(|m| m.header("x-request-id").map(String::from)).collect()
     }
 }
 
-fn id(request: &str) -> String {
+pub fn id(request: &str) -> String {
     let from = request.split("X-Request-Id: ").nth(1).expect("it has one");
     from.split("\r\n").next().expect("a line").to_string()
 }
@@ -262,13 +262,13 @@
 }
 
 /// An endpoint whose connections come up late: its backlog is full until the test takes from it.
-struct Late {
+pub struct Late {
     listener: TcpListener,
     fillers: Vec<TcpStream>,
 }
 
 impl Late {
-    fn start() -> Self {
+    pub fn start() -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("an address");
         let fill = || TcpStream::connect_timeout(&address, Duration::from_millis(300));
@@ -277,12 +277,12 @@
         Late { listener, fillers }
     }
 
-    fn entry(&self) -> Value {
+    pub fn entry(&self) -> Value {
         entry("late", self.listener.local_addr().expect("an address"), "SERVING")
     }
 
     /// A connection of the sidecar's, if one has come up.
-    fn now(&self) -> Option<TcpStream> {
+    pub fn now(&self) -> Option<TcpStream> {
         let ours = |peer| self.fillers.iter().any(|f| f.local_addr().expect("an address") == peer);
         while let Ok((stream, peer)) = self.listener.accept() {
             if !ours(peer) {
@@ -372,10 +372,10 @@
     assert_eq!(holds.saw().len(), 1, "and nothing else did");
 }
 
-const CHANGES: [&str; 3] = ["DRAIN", "TERM", "upgrade"];
+pub const CHANGES: [&str; 3] = ["DRAIN", "TERM", "upgrade"];
 
 /// What a sidecar is told while requests wait there; the next process, if one serves from now on.
-fn changes(word: &str, sidecar: &Sidecar, folder: &Path, endpoint: &Endpoint) -> Option<Sidecar> {
+pub fn changes(word: &str, sidecar: &Sidecar, folder: &Path, endpoint: &Endpoint) -> Option<Sidecar> {
     if word == "upgrade" {
         let mut config = with_admin(config(Discovery::start().address, &serving(&[endpoint])));
         config["listen"] = json!(sidecar.address.to_string());
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -5,6 +5,7 @@
 mod bulk;
 mod callers;
 mod churn;
+mod client_cancellation;
 mod crossings;
 mod customers;
 mod drains;
