--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -6,6 +6,7 @@
 mod callers;
 mod churn;
 mod cold_endpoint;
+mod client_cancellation;
 mod crossings;
 mod customers;
 mod descriptor_pressure;
