Call discovery again in time for the 6 s of a change, however often it failed

Cause: the wait after a failed call doubles four times, from a twentieth of the time that a copy may go without asking. At 10 s or more that is 4 to 12 s from the fifth failure on (`learn`, `News::Failed`), counted from the end of the call, which takes up to 4.2 s where discovery accepts and says nothing. A discovery that comes back just after a call began is then asked up to 16 s later, and a change has to be in force 6 s after discovery had it and could be reached. Ruled out: the watch itself, which is given up after 4.2 s of silence, and the agent's fixed pause of 0.3 s. Change: the mean wait is cut so that, jitter included, the next call begins within 5 s of the failure before the last; the first wait is as it was. Counted from that failure it holds also for a call that the host makes by itself, on a reload. The deadline and the time-out of a call are constants of `api.rs`, so that the module and the program use the same.

--- a/src/api.rs
+++ b/src/api.rs
@@ -203,6 +203,15 @@
     }
 }
 
+/// A change of the list is in force at the latest this long after discovery had it and could be reached.
+pub const CHANGE_DEADLINE: Duration = Duration::from_secs(6);
+/// A call of discovery begins within this of the one that failed before it: discovery may have come back just after that
+/// one began, and the new call takes its part of the time that is left.
+pub const NEXT_CALL_WITHIN: Duration = CHANGE_DEADLINE.saturating_sub(Duration::from_secs(1));
+/// A call of discovery that is not answered for this long has failed, and a watch that is silent for as long is lost:
+/// two of its 2 s beats, and a little.
+pub const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(4_200);
+
 /// How news of the endpoints comes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Discovery {
--- a/src/bin/rowanway/discovery.rs
+++ b/src/bin/rowanway/discovery.rs
@@ -7,7 +7,7 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
-use passproxy::api::{CellId, Listing, Moment, Readiness};
+use passproxy::api::{CellId, DISCOVERY_TIMEOUT, Listing, Moment, Readiness};
 use serde::Deserialize;
 use std::error::Error;
 use std::net::SocketAddr;
@@ -15,9 +15,6 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
-/// A watch that is silent for two of its 2 s beats, and a little, is dead: a machine that vanished says nothing,
-/// and what it has to tell counts as told after 6 s all the same. Asking again takes its part of them.
-const SILENCE: Duration = Duration::from_millis(4_200);
 /// Pause before a pushed list's agent is called again: nobody else decides on it there.
 const AGENT_PAUSE: Duration = Duration::from_millis(300);
 /// The longest list taken, or word of changes. The largest fleets need a fiftieth of it.
@@ -127,7 +124,7 @@
 
 async fn whole_list(source: Source) -> Result<EndpointList, Failure> {
     let body = ask(source.address, "/v1/endpoints").await?;
-    let body = timeout(SILENCE, Limited::new(body, LONGEST_LIST).collect()).await?;
+    let body = timeout(DISCOVERY_TIMEOUT, Limited::new(body, LONGEST_LIST).collect()).await?;
     let body = body.map_err(|e| -> Failure { e })?;
     Ok(serde_json::from_slice(&body.to_bytes())?)
 }
@@ -148,7 +145,7 @@
         let mut body = ask(source.address, &format!("/v1/endpoints?follow=1&since={since}")).await?;
         node.follows(source);
         let mut unread = BytesMut::new();
-        while let Some(frame) = timeout(SILENCE, body.frame()).await? {
+        while let Some(frame) = timeout(DISCOVERY_TIMEOUT, body.frame()).await? {
             let Ok(data) = frame?.into_data() else { continue };
             unread.extend_from_slice(&data);
             // Whole objects are read as they come, whichever way they are broken into lines and pieces.
@@ -189,5 +186,5 @@
             status => Err(Failure::from(format!("discovery answered {status}"))),
         }
     };
-    timeout(SILENCE, call).await?
+    timeout(DISCOVERY_TIMEOUT, call).await?
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -209,10 +209,11 @@
     fn learn(&mut self, now: Moment, news: News, entries: &[Listing], out: &mut Vec<Action>) {
         if news == News::Failed {
             // All copies lose their subscription together; asking at once and in step would keep it lost.
-            let within = self.set.rules.ask_within.min(SILENCE_COUNTS).as_secs_f64();
-            let wait = within * 0.05 * f64::from(1 << self.failed_asks.min(4)) * (0.5 + self.dice.unit());
-            self.failed_asks += 1;
-            self.ask_at = Some(now + seconds(wait));
+            let first = self.set.rules.ask_within.min(SILENCE_COUNTS).as_secs_f64() * 0.05;
+            let left = NEXT_CALL_WITHIN.saturating_sub(now.since(self.failed_at)).as_secs_f64();
+            let mean = (first * f64::from(1 << self.failed_asks.min(4))).min(left / 1.5).max(first);
+            let at = now + seconds(mean * (0.5 + self.dice.unit()));
+            (self.ask_at, self.failed_at, self.failed_asks) = (Some(at), now, self.failed_asks + 1);
             return;
         }
         self.failed_asks = 0;
--- a/src/state.rs
+++ b/src/state.rs
@@ -159,6 +159,8 @@
     pub(crate) retry_tokens: f64,
     pub(crate) probe_tokens: f64,
     pub(crate) ask_at: Option<Moment>,
+    /// When the last call failed; the next one, which the host may make by itself, begins after it.
+    pub(crate) failed_at: Moment,
     pub(crate) failed_asks: u32,
     pub(crate) armed: Option<Moment>,
 }
@@ -195,6 +197,7 @@
             retry_tokens: 0.0,
             probe_tokens: 0.0,
             ask_at: None,
+            failed_at: Moment::default(),
             failed_asks: 0,
             armed: None,
             set,
--- a/tests/choice.rs
+++ b/tests/choice.rs
@@ -427,6 +427,67 @@
     }
 }
 
+/// Guards changes that discovery has once it is back, however many calls failed before, and whether they were refused at
+/// once or had no answer until they were given up: the next call begins early enough for its answer to be in force 6 s
+/// after the one before began, as discovery may have come back just then. The wait doubled up to 12 s at a site where
+/// copies may go long without asking.
+#[test]
+fn calls_that_failed_often_do_not_put_off_the_next_beyond_the_deadline_of_a_change() {
+    let for_the_answer = ms(1_000);
+    for within in [1_000, 4_500, 10_000, 120_000] {
+        for took in [Duration::ZERO, ms(1_000), DISCOVERY_TIMEOUT] {
+            let mut set = settings();
+            (set.discovery, set.rules.ask_within) = (Discovery::Asked, ms(within));
+            let mut host = Host::new(set, listings(1));
+            let mut actions = host.members(News::Failed, Vec::new());
+            for failed in 1..50 {
+                let (asks, token) = *timers(&actions).last().expect("a time to ask again");
+                host.now = asks;
+                assert!(host.tell(Event::Timer { token }).contains(&Action::Subscribe(true)));
+                host.now = asks + took;
+                actions = host.members(News::Failed, Vec::new());
+                let (again, _) = *timers(&actions).last().expect("a time to ask again");
+                let since = again.since(asks);
+                let in_time = since + for_the_answer <= CHANGE_DEADLINE;
+                assert!(in_time, "{within} ms, {took:?} a call, {failed} failed: {since:?}");
+            }
+        }
+    }
+}
+
+/// Guards the same where the host makes the call that fails by itself, as on a reload, with the module's own call still
+/// due: that one is not made, and does not count as the beginning of the other.
+#[test]
+fn a_call_of_the_host_does_not_put_off_the_next_beyond_the_deadline_of_a_change() {
+    for seed in 0..50 {
+        let set = Settings { discovery: Discovery::Asked, ..settings() };
+        let mut balancer = passproxy::choice::Balancer::new(set, seed).expect("settings that make sense");
+        let failed = || Event::Members { version: 1, news: News::Failed, entries: Vec::new().into() };
+        let mut out = Vec::new();
+        (0..6).for_each(|_| balancer.handle(at(0), failed(), &mut out));
+        let begun = at(0);
+        let given_up = begun + DISCOVERY_TIMEOUT;
+        let (mut now, mut told) = (begun, false);
+        // Its timers in their order, and in between the failure of the host's call.
+        while !(told && out.contains(&Action::Subscribe(true))) {
+            let next = timers(&out).into_iter().filter(|(at, _)| *at > now).min();
+            out.retain(|action| *action != Action::Subscribe(true));
+            match next.filter(|(at, _)| told || *at < given_up) {
+                Some((at, token)) => {
+                    now = at;
+                    balancer.handle(now, Event::Timer { token }, &mut out);
+                }
+                None => {
+                    (now, told) = (given_up, true);
+                    balancer.handle(now, failed(), &mut out);
+                }
+            }
+        }
+        let since = now.since(begun);
+        assert!(since + ms(1_000) <= CHANGE_DEADLINE, "seed {seed}: {since:?}");
+    }
+}
+
 #[test]
 fn a_copy_whose_first_members_are_cold_still_has_warm_ones() {
     // Half of the tier has just started; the subset must not be mostly cold members that may hardly be used.
