Test discovery that fails and recovers, with lists that are asked for and pushed

Cause: the tests of a watch that goes wrong knew only lists that are asked for and no refused call, and nothing tested the first whole list after SIGHUP going wrong, nor a discovery that comes back while a call is out or a SIGHUP is under way. The stand-in for discovery in `watches.rs` is now shared.

--- a/tests/sidecar/watches.rs
+++ b/tests/sidecar/watches.rs
@@ -8,55 +8,63 @@
 use std::time::{Duration, Instant};
 
 /// A discovery whose every call the test answers itself.
-struct Calls(TcpListener);
+pub struct Calls(TcpListener);
 
 /// One call of it, and the connection that it came on.
-struct Call {
-    asked: String,
-    stream: TcpStream,
+pub struct Call {
+    pub asked: String,
+    pub stream: TcpStream,
 }
 
-const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+pub const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
 impl Calls {
-    fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    pub fn start() -> Self {
+        Calls::on(TcpListener::bind("127.0.0.1:0").expect("a port"))
+    }
+
+    pub fn on(listener: TcpListener) -> Self {
         listener.set_nonblocking(true).expect("an option");
         Calls(listener)
     }
 
-    fn address(&self) -> SocketAddr {
+    pub fn address(&self) -> SocketAddr {
         self.0.local_addr().expect("an address")
     }
 
-    fn next(&self) -> Call {
+    pub fn next(&self) -> Call {
         let mut call = None;
         awaits("a call", || {
-            call = self.0.accept().ok();
+            call = self.try_next();
             call.is_some()
         });
-        let (stream, _) = call.expect("a call");
+        call.expect("a call")
+    }
+
+    /// The next call, if it has come.
+    pub fn try_next(&self) -> Option<Call> {
+        let (stream, _) = self.0.accept().ok()?;
         stream.set_nonblocking(false).expect("an option");
         let mut reader = BufReader::new(stream);
         let asked = read_message(&mut reader).expect("a request").first;
-        Call { asked, stream: reader.into_inner() }
+        Some(Call { asked, stream: reader.into_inner() })
     }
 }
 
 impl Call {
-    fn follows(&self, since: u64) -> bool {
+    pub fn follows(&self, since: u64) -> bool {
         self.asked.starts_with(&format!("GET /v1/endpoints?follow=1&since={since} "))
     }
 
-    fn writes(&mut self, text: &str) {
+    pub fn writes(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).expect("it is open");
     }
 
-    fn chunk(&mut self, text: &str) {
+    pub fn chunk(&mut self, text: &str) {
         self.writes(&format!("{:x}\r\n{text}\r\n", text.len()));
     }
 
-    fn resets(self) {
+    pub fn resets(self) {
         SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).expect("an option");
     }
 }
@@ -70,7 +78,7 @@
     format!("{}\n", serde_json::to_string_pretty(&list).expect("JSON"))
 }
 
-fn is_out(sidecar: &Sidecar, endpoints: u64) {
+pub fn is_out(sidecar: &Sidecar, endpoints: u64) {
     awaits(&format!("{endpoints} are out"), || sidecar.figure("members_unavailable") == Some(endpoints));
 }
 
