Give up a watch whose half-read list does not go on, though beats come behind it

Cause: each frame of a watch put its time-out off, an empty line as well. A discovery that wrote half a list and then its 2 s beats held the watch for good, and no later change came into force. Ruled out: half a list that ends, or with silence or another list behind it, is given up already (`watches.rs`). Change: `follow` puts the time-out off once a whole list was read, or where nothing is left unread.

--- a/src/bin/rowanway/discovery.rs
+++ b/src/bin/rowanway/discovery.rs
@@ -13,7 +13,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Pause before a pushed list's agent is called again: nobody else decides on it there.
 const AGENT_PAUSE: Duration = Duration::from_millis(300);
@@ -145,7 +145,9 @@
         let mut body = ask(source.address, &format!("/v1/endpoints?follow=1&since={since}")).await?;
         node.follows(source);
         let mut unread = BytesMut::new();
-        while let Some(frame) = timeout(DISCOVERY_TIMEOUT, body.frame()).await? {
+        // Beats do not put it off while half a list is unread, whose rest may never come.
+        let mut silent_from = Instant::now();
+        while let Some(frame) = timeout_at(silent_from + DISCOVERY_TIMEOUT, body.frame()).await? {
             let Ok(data) = frame?.into_data() else { continue };
             unread.extend_from_slice(&data);
             // Whole objects are read as they come, whichever way they are broken into lines and pieces.
@@ -162,6 +164,9 @@
             if unread.iter().all(u8::is_ascii_whitespace) {
                 unread.clear();
             }
+            if read > 0 || unread.is_empty() {
+                silent_from = Instant::now();
+            }
             if unread.len() > LONGEST_LIST {
                 return Err("a list is too long".into());
             }
--- a/tests/sidecar/discovery_recovery.rs
+++ b/tests/sidecar/discovery_recovery.rs
@@ -154,6 +154,28 @@
     drop((refuses, spoilt, unanswered, silent));
 }
 
+/// Guards against half a list with beats behind it, which is no silence: the rest never comes, and the watch is lost.
+#[test]
+fn half_a_list_with_beats_behind_it_does_not_keep_a_watch() {
+    for mode in MODES {
+        let discovery = Calls::start();
+        let site = Site::start(mode, discovery.address());
+        let mut spoilt = opens_watch(&discovery, 41);
+        spoilt.chunk("{\"index\":50,\"snapshot\":true,\"endpoints\":[");
+        let mut anew = None;
+        awaits("a watch is opened anew", || {
+            spoilt.beats();
+            anew = discovery.try_next();
+            anew.is_some()
+        });
+        let mut watch = anew.expect("a call");
+        assert!(watch.follows(41), "{}", watch.asked);
+        watch.writes(HEAD);
+        watch.chunk(&format!("{}\n", list(51, false, &site.change())));
+        site.awaits_change();
+    }
+}
+
 /// Guards a call that is out while discovery comes back, with a SIGHUP in between that changes other settings: the call
 /// stays out, and what is then answered counts, with no further call.
 #[test]
--- a/tests/sidecar/watches.rs
+++ b/tests/sidecar/watches.rs
@@ -64,6 +64,11 @@
         self.writes(&format!("{:x}\r\n{text}\r\n", text.len()));
     }
 
+    /// Writes an empty line, unless the sidecar has closed the call.
+    pub fn beats(&mut self) {
+        let _ = self.stream.write_all(b"1\r\n\n\r\n");
+    }
+
     pub fn resets(self) {
         SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).expect("an option");
     }
