Answer 503 with a list in the tests of discovery's recovery

Cause: with the check of the status in `ask` taken out the tests still passed, as the body of their 503 was empty. Change: the 503 has a whole list with no endpoints as its body.

--- a/tests/sidecar/discovery_recovery.rs
+++ b/tests/sidecar/discovery_recovery.rs
@@ -114,7 +114,11 @@
     call.writes(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len()));
 }
 
-const UNAVAILABLE: &str = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
+/// A failed call, whose body counts for nothing though it is a list.
+fn answers_unavailable(call: &mut Call) {
+    let body = list(99, true, &[]);
+    call.writes(&format!("HTTP/1.1 503 No\r\nContent-Length: {}\r\n\r\n{body}", body.len()));
+}
 
 /// Guards the call after one that was refused, however many were: discovery that is back is asked, and its change holds.
 #[test]
@@ -140,7 +144,7 @@
     let site = Site::start("automatic", discovery.address());
     let half = "{\"index\":50,\"snapshot\":true,\"endpoints\":[";
     let mut refuses = discovery.next();
-    refuses.writes(UNAVAILABLE);
+    answers_unavailable(&mut refuses);
     discovery.next().resets();
     drop(discovery.next());
     opens_watch(&discovery, 41).chunk(half);
@@ -208,7 +212,7 @@
         let refused = |line: &&String| line.contains("refused");
         awaits("calls are refused", || site.sidecar.log().iter().filter(refused).count() >= MANY_FAILED);
         let new = down.comes_back();
-        next_whole_list(&new).writes(UNAVAILABLE);
+        answers_unavailable(&mut next_whole_list(&new));
         let unanswered = next_whole_list(&new);
         let text = site.whole_list(7);
         let half =
