--- a/tests/sidecar/watches.rs
+++ b/tests/sidecar/watches.rs
@@ -13,7 +13,7 @@
 /// One call of it, and the connection that it came on.
 pub struct Call {
     pub asked: String,
-    stream: TcpStream,
+    pub stream: TcpStream,
 }
 
 pub const HEAD: &str = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -25,7 +25,10 @@
 
     /// One that listens there.
     pub fn at(address: SocketAddr) -> Self {
-        let listener = TcpListener::bind(address).expect("a port");
+        Self::on(TcpListener::bind(address).expect("a port"))
+    }
+
+    pub fn on(listener: TcpListener) -> Self {
         listener.set_nonblocking(true).expect("an option");
         Calls(listener)
     }
@@ -54,10 +57,16 @@
     pub fn next(&self) -> Call {
         let mut call = None;
         awaits("a call", || {
-            call = self.0.accept().ok();
+            call = self.try_next();
             call.is_some()
         });
-        Call::read(call.expect("a call").0).expect("a request")
+        call.expect("a call")
+    }
+
+    /// The next call, if it has come.
+    pub fn try_next(&self) -> Option<Call> {
+        let (stream, _) = self.0.accept().ok()?;
+        Some(Call::read(stream).expect("a request"))
     }
 }
 
@@ -90,7 +99,12 @@
         self.writes(&format!("{:x}\r\n{text}\r\n", text.len()));
     }
 
-    fn resets(self) {
+    /// Writes an empty line, unless the sidecar has closed the call.
+    pub fn beats(&mut self) {
+        let _ = self.stream.write_all(b"1\r\n\n\r\n");
+    }
+
+    pub fn resets(self) {
         SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).expect("an option");
     }
 }
@@ -104,7 +118,7 @@
     format!("{}\n", serde_json::to_string_pretty(&list).expect("JSON"))
 }
 
-fn is_out(sidecar: &Sidecar, endpoints: u64) {
+pub fn is_out(sidecar: &Sidecar, endpoints: u64) {
     awaits(&format!("{endpoints} are out"), || sidecar.figure("members_unavailable") == Some(endpoints));
 }
 
