Keep the cold ramp going while no sound endpoint can take a request

Ruled out: overload (no endpoint gapping or discarding, nothing in flight), the cut itself (probes answered, no time-out or failed connection in those seconds), the list (four endpoints ready, none avoided).

Change: a request for which no endpoint is both sound and at its turn, and that nothing else can take, counts at once in the clock of the ramp, and its next send does not count again. Beside a sound warm endpoint nothing changes, also not in overload. The clock is renamed from `sends`, as it counts more than these.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -346,7 +346,7 @@
         for e in ring {
             self.endpoints[e].in_subset = true;
             if self.endpoints[e].awaited {
-                self.endpoints[e].cold_at = self.sends;
+                self.endpoints[e].cold_at = self.cold_clock;
             } else if self.endpoints[e].cold_at.is_infinite() {
                 self.endpoints[e].cold_at = self.next_cold_turn(now, e);
             }
@@ -371,10 +371,11 @@
     }
 
     /// Own sends are the clock of the cold ramp: of every `subset / capacity` sends one is for the cold
-    /// member, at random, so that copies of any number and quietness together stay at a fair share.
+    /// member, at random, so that copies of any number and quietness together stay at a fair share. A request
+    /// that no sound endpoint can take counts ahead of its send: else the clock would stand still.
     fn next_cold_turn(&mut self, now: Moment, e: usize) -> f64 {
         let part = self.cold_share(now, e).unwrap_or(f64::INFINITY);
-        self.sends - (1.0 - self.dice.unit()).ln() * self.subset.len() as f64 / part
+        self.cold_clock - (1.0 - self.dice.unit()).ln() * self.subset.len() as f64 / part
     }
 
     fn ask_and_arm(&mut self, now: Moment, out: &mut Vec<Action>) {
@@ -475,7 +476,7 @@
 
     fn usable(&self, now: Moment, e: usize, pending: &Pending, scope: &Scope) -> bool {
         let known = &self.endpoints[e];
-        (self.cold_share(now, e).is_none() || known.in_subset && self.sends >= known.cold_at)
+        (self.cold_share(now, e).is_none() || known.in_subset && self.cold_clock >= known.cold_at)
             && scope.admits(known)
             && pending.attempts.iter().all(|a| a.endpoint != e)
     }
@@ -520,12 +521,11 @@
         if order.then(wait(a).total_cmp(&wait(b))).is_gt() { b } else { a }
     }
 
-    fn pick(&mut self, now: Moment, pending: &Pending, scope: &Scope) -> Option<usize> {
+    fn pick(&mut self, now: Moment, pending: &mut Pending, scope: &Scope) -> Option<usize> {
         let (level, class) = (pending.level, pending.request.class.0);
         // Guards against servers that fail fast, refuse connections or say nothing, be it for one class only:
         // they hold few calls and no queue. Judged against the others (and two unheard of), as errors and
-        // time-outs also come from the tier below.
-        // One that must not run twice is lost with its first failure: any class's faults warn it.
+        // time-outs also come from the tier below. For one that must not run twice, any class's faults count.
         let unsafe_class = self.set.classes[class].effect == Effect::Unsafe;
         let of = (!unsafe_class).then_some(class);
         let fault = |b: &Self, e: usize| b.endpoints[e].fault(of, now, FAULT_FADE);
@@ -552,6 +552,9 @@
             let all = self.near.iter().chain(&self.beyond).copied();
             let fits = |e: &usize| self.usable(now, *e, pending, scope) && level >= self.standing(now, *e).0;
             open.extend(all.filter(fits).min_by(|a, b| fault(self, *a).total_cmp(&fault(self, *b))));
+            if open.is_empty() && !std::mem::replace(&mut pending.counted, true) {
+                self.cold_clock += 1.0;
+            }
         }
         let clear = self.subset.iter().filter(|e| self.standing(now, **e).0 == 0).count();
         let warned = self.warned.is_some_and(|at| now.since(at) < FAULT_FADE);
@@ -685,17 +688,15 @@
         let (left, class) = (pending.useful_until.since(now), pending.request.class.0);
         // Some servers drop waiting work that is called off: what earns nothing any more holds up the rest.
         let timeout = (self.set.classes[class].late_share == 0.0).then_some(left);
-        self.sends += 1.0;
+        self.cold_clock += if std::mem::take(&mut pending.counted) { 0.0 } else { 1.0 };
         self.out += 1;
         let gap = self.gap(now, self.endpoints[e].depth);
         let turn = self.next_cold_turn(now, e);
         let known = &mut self.endpoints[e];
         known.in_flight += 1;
-        known.awaited = false;
-        (known.last_send, known.next_send, known.cold_at) = (now, now + gap, turn);
+        (known.last_send, known.next_send, known.cold_at, known.awaited) = (now, now + gap, turn, false);
         pending.attempts.push(Attempt { endpoint: e, sent: now, fate: Fate::Out });
-        let request = pending.request.id.clone();
-        out.push(Action::Send { request, endpoint: known.id.clone(), timeout });
+        out.push(Action::Send { request: pending.request.id.clone(), endpoint: known.id.clone(), timeout });
         true
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -71,6 +71,8 @@
     pub answered: bool,
     /// What an attempt needs is no longer all there.
     pub spent: bool,
+    /// Its next send is counted already, see [`Balancer`]'s `cold_clock`.
+    pub counted: bool,
 }
 
 /// Who waits to be sent for one key, in order of arrival; the first has the turn.
@@ -153,7 +155,8 @@
     /// When a call that must not run twice was last lost.
     pub(crate) warned: Option<Moment>,
     pub(crate) rate: Rate,
-    pub(crate) sends: f64,
+    /// Own sends, counted ahead for requests that no sound endpoint can take: the clock of the cold ramp.
+    pub(crate) cold_clock: f64,
     pub(crate) out: u32,
     pub(crate) overdue: VecDeque<(Moment, usize)>,
     pub(crate) retry_tokens: f64,
@@ -189,7 +192,7 @@
             tier_stretch: 1.0,
             warned: None,
             rate: Rate::default(),
-            sends: 0.0,
+            cold_clock: 0.0,
             out: 0,
             overdue: VecDeque::new(),
             retry_tokens: 0.0,
@@ -392,6 +395,7 @@
             attempts: Vec::new(),
             answered: false,
             spent: false,
+            counted: false,
         }
     }
 }
