--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -10,6 +10,7 @@
 mod crossings;
 mod customers;
 mod descriptor_pressure;
+mod dials;
 mod discovery_recovery;
 mod drains;
 mod leaving;
