Name the constants of discovery's backoff, and keep the book-keeping in state.rs

Change: the places of endpoints that left the list are freed in state.rs, where the other book-keeping is; the backoff is a function of its own with named constants.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,6 +41,11 @@
 /// However long a copy may go without asking, a lost subscription is asked for again as if it were this:
 /// what it misses counts as told 6 s after it fell silent, most of which have passed when that is noticed.
 const SILENCE_COUNTS: Duration = Duration::from_secs(10);
+/// Mean wait after the first failed call of discovery, as a part of that time, and how often it doubles.
+const FIRST_BACKOFF: f64 = 0.05;
+const MOST_DOUBLINGS: u32 = 4;
+/// The longest wait, as a multiple of the mean; the shortest is 1 less.
+const LONGEST_JITTER: f64 = 1.5;
 /// Weight of one answer in an endpoint's stretch and faults, and of one in a class's usual time.
 const ENDPOINT_WEIGHT: f64 = 0.3;
 const USUAL_WEIGHT: f64 = 0.05;
@@ -209,11 +214,9 @@
     fn learn(&mut self, now: Moment, news: News, entries: &[Listing], out: &mut Vec<Action>) {
         if news == News::Failed {
             // All copies lose their subscription together; asking at once and in step would keep it lost.
-            let first = self.set.rules.ask_within.min(SILENCE_COUNTS).as_secs_f64() * 0.05;
-            let left = NEXT_CALL_WITHIN.saturating_sub(now.since(self.failed_at)).as_secs_f64();
-            let mean = (first * f64::from(1 << self.failed_asks.min(4))).min(left / 1.5).max(first);
-            let at = now + seconds(mean * (0.5 + self.dice.unit()));
-            (self.ask_at, self.failed_at, self.failed_asks) = (Some(at), now, self.failed_asks + 1);
+            self.ask_at = Some(now + seconds(self.discovery_backoff(now)));
+            self.failed_at = now;
+            self.failed_asks += 1;
             return;
         }
         self.failed_asks = 0;
@@ -226,7 +229,18 @@
         }
         entries.iter().for_each(|entry| self.note(entry, out));
         self.regroup(now);
-        self.forget();
+        self.forget_unlisted();
+    }
+
+    /// Seconds until discovery is called again after a failed call: the mean doubles with each one in a row,
+    /// as far as the next call still begins in time after the failure before.
+    fn discovery_backoff(&mut self, now: Moment) -> f64 {
+        let within = self.set.rules.ask_within.min(SILENCE_COUNTS).as_secs_f64();
+        let first = within * FIRST_BACKOFF;
+        let doubled = first * f64::from(1 << self.failed_asks.min(MOST_DOUBLINGS));
+        let left = NEXT_CALL_WITHIN.saturating_sub(now.since(self.failed_at)).as_secs_f64();
+        let mean = doubled.min(left / LONGEST_JITTER).max(first);
+        mean * (LONGEST_JITTER - 1.0 + self.dice.unit())
     }
 
     /// Takes an endpoint out by the operators' word, which holds whatever lists say until they take it back.
@@ -264,22 +278,6 @@
         self.draw_subset(now);
     }
 
-    /// Lets go of endpoints that are gone, whose places go to new ones: where they are replaced all day, they
-    /// would add up. One stays for as long as an attempt names its place.
-    fn forget(&mut self) {
-        if self.index.len() == self.endpoints.iter().filter(|e| e.listed).count() {
-            return;
-        }
-        let attempts = self.requests.values().flat_map(|p| &p.attempts).map(|a| a.endpoint);
-        let named: HashSet<usize> = attempts.chain(self.overdue.iter().map(|(_, e)| *e)).collect();
-        for e in (0..self.endpoints.len()).filter(|e| !self.endpoints[*e].listed && !named.contains(e)) {
-            if self.index.get(&self.endpoints[e].id) == Some(&e) {
-                self.index.remove(&self.endpoints[e].id);
-                self.free.push(e);
-            }
-        }
-    }
-
     fn note(&mut self, entry: &Listing, out: &mut Vec<Action>) {
         let new = || Endpoint::new(entry, self.classes.len());
         let e = match self.index.get(&entry.endpoint) {
@@ -695,7 +693,8 @@
         let turn = self.next_cold_turn(now, e);
         let known = &mut self.endpoints[e];
         known.in_flight += 1;
-        (known.last_send, known.next_send, known.cold_at, known.awaited) = (now, now + gap, turn, false);
+        known.awaited = false;
+        (known.last_send, known.next_send, known.cold_at) = (now, now + gap, turn);
         pending.attempts.push(Attempt { endpoint: e, sent: now, fate: Fate::Out });
         out.push(Action::Send { request: pending.request.id.clone(), endpoint: known.id.clone(), timeout });
         true
--- a/src/state.rs
+++ b/src/state.rs
@@ -236,6 +236,24 @@
     }
 }
 
+impl Balancer {
+    /// Frees the places of endpoints that have left the list, for new ones: where endpoints are replaced all day, they
+    /// would add up. A place stays for as long as an attempt names it.
+    pub(crate) fn forget_unlisted(&mut self) {
+        if self.index.len() == self.endpoints.iter().filter(|e| e.listed).count() {
+            return;
+        }
+        let attempts = self.requests.values().flat_map(|p| &p.attempts).map(|a| a.endpoint);
+        let named: HashSet<usize> = attempts.chain(self.overdue.iter().map(|(_, e)| *e)).collect();
+        for e in (0..self.endpoints.len()).filter(|e| !self.endpoints[*e].listed && !named.contains(e)) {
+            if self.index.get(&self.endpoints[e].id) == Some(&e) {
+                self.index.remove(&self.endpoints[e].id);
+                self.free.push(e);
+            }
+        }
+    }
+}
+
 impl ClassState {
     /// How much longer an answer takes, in seconds, for each second more in its hint.
     pub fn slope(&self) -> f64 {
