--- a/src/bin/rowanway/discovery.rs
+++ b/src/bin/rowanway/discovery.rs
@@ -7,17 +7,14 @@
 use hyper::client::conn::http1;
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
-use passproxy::api::{CellId, Listing, Moment, Readiness};
+use passproxy::api::{CellId, DISCOVERY_TIMEOUT, Listing, Moment, Readiness};
 use serde::Deserialize;
 use std::error::Error;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-/// A watch that is silent for two of its 2 s beats, and a little, is dead: a machine that vanished says nothing,
-/// and what it has to tell counts as told after 6 s all the same. Asking again takes its part of them.
-const SILENCE: Duration = Duration::from_millis(4_200);
 /// Pause before a pushed list's agent is called again: nobody else decides on it there.
 const AGENT_PAUSE: Duration = Duration::from_millis(300);
 /// The longest list taken, or word of changes. The largest fleets need a fiftieth of it.
@@ -127,7 +124,7 @@
 
 async fn whole_list(source: Source) -> Result<EndpointList, Failure> {
     let body = ask(source.address, "/v1/endpoints").await?;
-    let body = timeout(SILENCE, Limited::new(body, LONGEST_LIST).collect()).await?;
+    let body = timeout(DISCOVERY_TIMEOUT, Limited::new(body, LONGEST_LIST).collect()).await?;
     let body = body.map_err(|e| -> Failure { e })?;
     Ok(serde_json::from_slice(&body.to_bytes())?)
 }
@@ -148,7 +145,9 @@
         let mut body = ask(source.address, &format!("/v1/endpoints?follow=1&since={since}")).await?;
         node.follows(source);
         let mut unread = BytesMut::new();
-        while let Some(frame) = timeout(SILENCE, body.frame()).await? {
+        // Beats do not put it off while half a list is unread, whose rest may never come.
+        let mut silent_from = Instant::now();
+        while let Some(frame) = timeout_at(silent_from + DISCOVERY_TIMEOUT, body.frame()).await? {
             let Ok(data) = frame?.into_data() else { continue };
             unread.extend_from_slice(&data);
             // Whole objects are read as they come, whichever way they are broken into lines and pieces.
@@ -165,6 +164,9 @@
             if unread.iter().all(u8::is_ascii_whitespace) {
                 unread.clear();
             }
+            if read > 0 || unread.is_empty() {
+                silent_from = Instant::now();
+            }
             if unread.len() > LONGEST_LIST {
                 return Err("a list is too long".into());
             }
@@ -189,5 +191,5 @@
             status => Err(Failure::from(format!("discovery answered {status}"))),
         }
     };
-    timeout(SILENCE, call).await?
+    timeout(DISCOVERY_TIMEOUT, call).await?
 }
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -41,6 +41,11 @@
 /// However long a copy may go without asking, a lost subscription is asked for again as if it were this:
 /// what it misses counts as told 6 s after it fell silent, most of which have passed when that is noticed.
 const SILENCE_COUNTS: Duration = Duration::from_secs(10);
+/// Mean wait after the first failed call of discovery, as a part of that time, and how often it doubles.
+const FIRST_BACKOFF: f64 = 0.05;
+const MOST_DOUBLINGS: u32 = 4;
+/// The longest wait, as a multiple of the mean; the shortest is 1 less.
+const LONGEST_JITTER: f64 = 1.5;
 /// Weight of one answer in an endpoint's stretch and faults, and of one in a class's usual time.
 const ENDPOINT_WEIGHT: f64 = 0.3;
 const USUAL_WEIGHT: f64 = 0.05;
@@ -209,10 +214,9 @@
     fn learn(&mut self, now: Moment, news: News, entries: &[Listing], out: &mut Vec<Action>) {
         if news == News::Failed {
             // All copies lose their subscription together; asking at once and in step would keep it lost.
-            let within = self.set.rules.ask_within.min(SILENCE_COUNTS).as_secs_f64();
-            let wait = within * 0.05 * f64::from(1 << self.failed_asks.min(4)) * (0.5 + self.dice.unit());
+            self.ask_at = Some(now + seconds(self.discovery_backoff(now)));
+            self.failed_at = now;
             self.failed_asks += 1;
-            self.ask_at = Some(now + seconds(wait));
             return;
         }
         self.failed_asks = 0;
@@ -225,7 +229,18 @@
         }
         entries.iter().for_each(|entry| self.note(entry, out));
         self.regroup(now);
-        self.forget();
+        self.forget_unlisted();
+    }
+
+    /// Seconds until discovery is called again after a failed call: the mean doubles with each one in a row,
+    /// as far as the next call still begins in time after the failure before.
+    fn discovery_backoff(&mut self, now: Moment) -> f64 {
+        let within = self.set.rules.ask_within.min(SILENCE_COUNTS).as_secs_f64();
+        let first = within * FIRST_BACKOFF;
+        let doubled = first * f64::from(1 << self.failed_asks.min(MOST_DOUBLINGS));
+        let left = NEXT_CALL_WITHIN.saturating_sub(now.since(self.failed_at)).as_secs_f64();
+        let mean = doubled.min(left / LONGEST_JITTER).max(first);
+        mean * (LONGEST_JITTER - 1.0 + self.dice.unit())
     }
 
     /// Takes an endpoint out by the operators' word, which holds whatever lists say until they take it back.
@@ -263,22 +278,6 @@
         self.draw_subset(now);
     }
 
-    /// Lets go of endpoints that are gone, whose places go to new ones: where they are replaced all day, they
-    /// would add up. One stays for as long as an attempt names its place.
-    fn forget(&mut self) {
-        if self.index.len() == self.endpoints.iter().filter(|e| e.listed).count() {
-            return;
-        }
-        let attempts = self.requests.values().flat_map(|p| &p.attempts).map(|a| a.endpoint);
-        let named: HashSet<usize> = attempts.chain(self.overdue.iter().map(|(_, e)| *e)).collect();
-        for e in (0..self.endpoints.len()).filter(|e| !self.endpoints[*e].listed && !named.contains(e)) {
-            if self.index.get(&self.endpoints[e].id) == Some(&e) {
-                self.index.remove(&self.endpoints[e].id);
-                self.free.push(e);
-            }
-        }
-    }
-
     fn note(&mut self, entry: &Listing, out: &mut Vec<Action>) {
         let new = || Endpoint::new(entry, self.classes.len());
         let e = match self.index.get(&entry.endpoint) {
@@ -346,7 +345,7 @@
         for e in ring {
             self.endpoints[e].in_subset = true;
             if self.endpoints[e].awaited {
-                self.endpoints[e].cold_at = self.sends;
+                self.endpoints[e].cold_at = self.cold_clock;
             } else if self.endpoints[e].cold_at.is_infinite() {
                 self.endpoints[e].cold_at = self.next_cold_turn(now, e);
             }
@@ -371,10 +370,11 @@
     }
 
     /// Own sends are the clock of the cold ramp: of every `subset / capacity` sends one is for the cold
-    /// member, at random, so that copies of any number and quietness together stay at a fair share.
+    /// member, at random, so that copies of any number and quietness together stay at a fair share. A request
+    /// that no sound endpoint can take counts ahead of its send: else the clock would stand still.
     fn next_cold_turn(&mut self, now: Moment, e: usize) -> f64 {
         let part = self.cold_share(now, e).unwrap_or(f64::INFINITY);
-        self.sends - (1.0 - self.dice.unit()).ln() * self.subset.len() as f64 / part
+        self.cold_clock - (1.0 - self.dice.unit()).ln() * self.subset.len() as f64 / part
     }
 
     fn ask_and_arm(&mut self, now: Moment, out: &mut Vec<Action>) {
@@ -475,7 +475,7 @@
 
     fn usable(&self, now: Moment, e: usize, pending: &Pending, scope: &Scope) -> bool {
         let known = &self.endpoints[e];
-        (self.cold_share(now, e).is_none() || known.in_subset && self.sends >= known.cold_at)
+        (self.cold_share(now, e).is_none() || known.in_subset && self.cold_clock >= known.cold_at)
             && scope.admits(known)
             && pending.attempts.iter().all(|a| a.endpoint != e)
     }
@@ -520,12 +520,11 @@
         if order.then(wait(a).total_cmp(&wait(b))).is_gt() { b } else { a }
     }
 
-    fn pick(&mut self, now: Moment, pending: &Pending, scope: &Scope) -> Option<usize> {
+    fn pick(&mut self, now: Moment, pending: &mut Pending, scope: &Scope) -> Option<usize> {
         let (level, class) = (pending.level, pending.request.class.0);
         // Guards against servers that fail fast, refuse connections or say nothing, be it for one class only:
         // they hold few calls and no queue. Judged against the others (and two unheard of), as errors and
-        // time-outs also come from the tier below.
-        // One that must not run twice is lost with its first failure: any class's faults warn it.
+        // time-outs also come from the tier below. For one that must not run twice, any class's faults count.
         let unsafe_class = self.set.classes[class].effect == Effect::Unsafe;
         let of = (!unsafe_class).then_some(class);
         let fault = |b: &Self, e: usize| b.endpoints[e].fault(of, now, FAULT_FADE);
@@ -552,6 +551,9 @@
             let all = self.near.iter().chain(&self.beyond).copied();
             let fits = |e: &usize| self.usable(now, *e, pending, scope) && level >= self.standing(now, *e).0;
             open.extend(all.filter(fits).min_by(|a, b| fault(self, *a).total_cmp(&fault(self, *b))));
+            if open.is_empty() && !std::mem::replace(&mut pending.counted, true) {
+                self.cold_clock += 1.0;
+            }
         }
         let clear = self.subset.iter().filter(|e| self.standing(now, **e).0 == 0).count();
         let warned = self.warned.is_some_and(|at| now.since(at) < FAULT_FADE);
@@ -685,7 +687,7 @@
         let (left, class) = (pending.useful_until.since(now), pending.request.class.0);
         // Some servers drop waiting work that is called off: what earns nothing any more holds up the rest.
         let timeout = (self.set.classes[class].late_share == 0.0).then_some(left);
-        self.sends += 1.0;
+        self.cold_clock += if std::mem::take(&mut pending.counted) { 0.0 } else { 1.0 };
         self.out += 1;
         let gap = self.gap(now, self.endpoints[e].depth);
         let turn = self.next_cold_turn(now, e);
@@ -694,8 +696,7 @@
         known.awaited = false;
         (known.last_send, known.next_send, known.cold_at) = (now, now + gap, turn);
         pending.attempts.push(Attempt { endpoint: e, sent: now, fate: Fate::Out });
-        let request = pending.request.id.clone();
-        out.push(Action::Send { request, endpoint: known.id.clone(), timeout });
+        out.push(Action::Send { request: pending.request.id.clone(), endpoint: known.id.clone(), timeout });
         true
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -71,6 +71,8 @@
     pub answered: bool,
     /// What an attempt needs is no longer all there.
     pub spent: bool,
+    /// Its next send is counted already, see [`Balancer`]'s `cold_clock`.
+    pub counted: bool,
 }
 
 /// Who waits to be sent for one key, in order of arrival; the first has the turn.
@@ -153,12 +155,15 @@
     /// When a call that must not run twice was last lost.
     pub(crate) warned: Option<Moment>,
     pub(crate) rate: Rate,
-    pub(crate) sends: f64,
+    /// Own sends, counted ahead for requests that no sound endpoint can take: the clock of the cold ramp.
+    pub(crate) cold_clock: f64,
     pub(crate) out: u32,
     pub(crate) overdue: VecDeque<(Moment, usize)>,
     pub(crate) retry_tokens: f64,
     pub(crate) probe_tokens: f64,
     pub(crate) ask_at: Option<Moment>,
+    /// When the last call failed; the next one, which the host may make by itself, begins after it.
+    pub(crate) failed_at: Moment,
     pub(crate) failed_asks: u32,
     pub(crate) armed: Option<Moment>,
 }
@@ -189,12 +194,13 @@
             tier_stretch: 1.0,
             warned: None,
             rate: Rate::default(),
-            sends: 0.0,
+            cold_clock: 0.0,
             out: 0,
             overdue: VecDeque::new(),
             retry_tokens: 0.0,
             probe_tokens: 0.0,
             ask_at: None,
+            failed_at: Moment::default(),
             failed_asks: 0,
             armed: None,
             set,
@@ -230,6 +236,24 @@
     }
 }
 
+impl Balancer {
+    /// Frees the places of endpoints that have left the list, for new ones: where endpoints are replaced all day, they
+    /// would add up. A place stays for as long as an attempt names it.
+    pub(crate) fn forget_unlisted(&mut self) {
+        if self.index.len() == self.endpoints.iter().filter(|e| e.listed).count() {
+            return;
+        }
+        let attempts = self.requests.values().flat_map(|p| &p.attempts).map(|a| a.endpoint);
+        let named: HashSet<usize> = attempts.chain(self.overdue.iter().map(|(_, e)| *e)).collect();
+        for e in (0..self.endpoints.len()).filter(|e| !self.endpoints[*e].listed && !named.contains(e)) {
+            if self.index.get(&self.endpoints[e].id) == Some(&e) {
+                self.index.remove(&self.endpoints[e].id);
+                self.free.push(e);
+            }
+        }
+    }
+}
+
 impl ClassState {
     /// How much longer an answer takes, in seconds, for each second more in its hint.
     pub fn slope(&self) -> f64 {
@@ -392,6 +416,7 @@
             attempts: Vec::new(),
             answered: false,
             spent: false,
+            counted: false,
         }
     }
 }
