Read and check experiment files, and write reports, with the lab's command line

Change: `pipittray-lab scale`, `run` and `check`. Every value of a file is checked against bounds that one machine can run, and all faults of a file are told at once, so ExperimentError::Values holds a list where ::Value held one fault. The report is written after each experiment and replaces the last one whole, so that a stop loses nothing. An experiment that fails is reported, and the next is run all the same.

--- /dev/null
+++ b/lab/src/command/mod.rs
@@ -0,0 +1,117 @@
+//! The commands `scale`, `run` and `check`.
+
+mod check;
+mod run;
+
+use clap::{Args, Parser, Subcommand};
+use pipittray_lab::experiment::ExperimentError;
+use std::io;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Exit code of a run that failed.
+const RUN_FAILED: u8 = 1;
+/// Exit code of input that cannot be used, as clap has it for arguments.
+const BAD_INPUT: u8 = 2;
+
+/// Measures what sidecars cost, and how they behave, on one machine.
+#[derive(Parser)]
+#[command(name = "pipittray-lab", version)]
+pub struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Runs all experiments of a folder, in the order of their files' names.
+    Scale {
+        /// The folder of experiments.
+        #[arg(long, value_name = "DIR", default_value = "lab/experiments")]
+        experiments: PathBuf,
+        /// Only the experiment of this name; may be given several times.
+        #[arg(long, value_name = "NAME")]
+        only: Vec<String>,
+        #[command(flatten)]
+        options: RunOptions,
+    },
+    /// Runs the experiments of these files, in this order.
+    Run {
+        /// Experiment files.
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+        #[command(flatten)]
+        options: RunOptions,
+    },
+    /// Tells what is wrong with these files.
+    Check {
+        /// Experiment files.
+        #[arg(required = true, value_name = "FILE")]
+        files: Vec<PathBuf>,
+    },
+}
+
+/// What all runs are told.
+#[derive(Args)]
+struct RunOptions {
+    /// The built sidecar.
+    #[arg(long, value_name = "PATH", default_value = "target/release/rowanway")]
+    program: PathBuf,
+    /// Where `results.json` and `results.md` go.
+    #[arg(long, value_name = "DIR", default_value = "target/lab")]
+    output: PathBuf,
+    /// What the report calls the program; its path by default.
+    #[arg(long, value_name = "TEXT")]
+    label: Option<String>,
+}
+
+/// Why a command ended without success.
+#[derive(Debug, thiserror::Error)]
+pub enum CommandError {
+    /// An experiment cannot be used.
+    #[error(transparent)]
+    Experiment(#[from] ExperimentError),
+    /// Some of the files that were checked cannot be used; what is wrong was told.
+    #[error("{faulty} of {checked} files cannot be used")]
+    Check { faulty: usize, checked: usize },
+    /// The folder has no experiment.
+    #[error("{}: no experiments", .0.display())]
+    NoExperiments(PathBuf),
+    /// `--only` names what is not there.
+    #[error("no experiment is named {0}")]
+    UnknownName(String),
+    /// There is no sidecar to run.
+    #[error("{}: {source}", path.display())]
+    Program { path: PathBuf, source: io::Error },
+    /// The report could not be written.
+    #[error("{}: {source}", folder.display())]
+    Write { folder: PathBuf, source: io::Error },
+    /// Experiments did not come to their end; why was logged and stands in the report.
+    #[error("{failed} of {run} experiments failed")]
+    Failed { failed: usize, run: usize },
+}
+
+impl CommandError {
+    /// 2 for bad input, 1 for a run that failed.
+    pub fn exit_code(&self) -> ExitCode {
+        match self {
+            CommandError::Experiment(_)
+            | CommandError::Check { .. }
+            | CommandError::NoExperiments(_)
+            | CommandError::UnknownName(_)
+            | CommandError::Program { .. } => BAD_INPUT.into(),
+            CommandError::Write { .. } | CommandError::Failed { .. } => RUN_FAILED.into(),
+        }
+    }
+}
+
+impl Arguments {
+    /// Does what they ask for.
+    pub fn run(&self) -> Result<(), CommandError> {
+        match &self.command {
+            Command::Scale { experiments, only, options } => run::scale(experiments, only, options),
+            Command::Run { files, options } => run::files(files, options),
+            Command::Check { files } => check::check(files),
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/command/run.rs
@@ -0,0 +1,90 @@
+//! The commands `scale` and `run`: experiments one after another, with the report written after each.
+
+use super::{CommandError, RunOptions};
+use pipittray_lab::experiment::Experiment;
+use pipittray_lab::report::{ExperimentReport, Report};
+use pipittray_lab::scenario::{self, RunContext};
+use std::fs;
+use std::num::NonZero;
+use std::path::{Path, PathBuf};
+use std::thread;
+use std::time::Instant;
+use tracing::{error, info};
+
+/// Runs the experiments of a folder, or those of them that are named.
+pub(super) fn scale(folder: &Path, only: &[String], options: &RunOptions) -> Result<(), CommandError> {
+    let mut experiments = Experiment::load_folder(folder)?;
+    if experiments.is_empty() {
+        return Err(CommandError::NoExperiments(folder.into()));
+    }
+    let is_there = |name: &&String| experiments.iter().any(|experiment| experiment.name == **name);
+    if let Some(unknown) = only.iter().find(|name| !is_there(name)) {
+        return Err(CommandError::UnknownName(unknown.clone()));
+    }
+    if !only.is_empty() {
+        experiments.retain(|experiment| only.contains(&experiment.name));
+    }
+    run_all(&experiments, options)
+}
+
+/// Runs the experiments of these files.
+pub(super) fn files(files: &[PathBuf], options: &RunOptions) -> Result<(), CommandError> {
+    let experiments = files.iter().map(|file| Experiment::load(file)).collect::<Result<Vec<_>, _>>()?;
+    run_all(&experiments, options)
+}
+
+/// Runs experiments in order. One that fails is reported, and the next is run all the same.
+fn run_all(experiments: &[Experiment], options: &RunOptions) -> Result<(), CommandError> {
+    let context = RunContext { program: program_path(options)? };
+    let mut report = Report {
+        program: options.label.clone().unwrap_or_else(|| options.program.display().to_string()),
+        processors: thread::available_parallelism().map_or(1, NonZero::get),
+        experiments: Vec::new(),
+    };
+    let mut failed = 0;
+    for experiment in experiments {
+        let (result, has_failed) = run_one(experiment, &context);
+        failed += usize::from(has_failed);
+        println!("{}", result.markdown());
+        report.experiments.push(result);
+        report
+            .write(&options.output)
+            .map_err(|source| CommandError::Write { folder: options.output.clone(), source })?;
+    }
+    match failed {
+        0 => Ok(()),
+        failed => Err(CommandError::Failed { failed, run: experiments.len() }),
+    }
+}
+
+/// The program by its whole path, so that a sidecar's working directory does not matter.
+fn program_path(options: &RunOptions) -> Result<PathBuf, CommandError> {
+    fs::canonicalize(&options.program)
+        .map_err(|source| CommandError::Program { path: options.program.clone(), source })
+}
+
+/// Runs one experiment; whether it failed is told next to its report.
+fn run_one(experiment: &Experiment, context: &RunContext) -> (ExperimentReport, bool) {
+    info!(experiment = %experiment.name, "begins");
+    let started = Instant::now();
+    match scenario::run(experiment, context) {
+        Ok(report) => {
+            info!(experiment = %experiment.name, seconds = report.seconds, "is done");
+            (report, false)
+        }
+        Err(cause) => {
+            error!(experiment = %experiment.name, %cause, "failed");
+            (failure_report(experiment, started, cause.to_string()), true)
+        }
+    }
+}
+
+fn failure_report(experiment: &Experiment, started: Instant, cause: String) -> ExperimentReport {
+    ExperimentReport {
+        experiment: experiment.name.clone(),
+        seed: experiment.seed,
+        seconds: started.elapsed().as_secs_f64(),
+        figures: Vec::new(),
+        problems: vec![format!("failed: {cause}")],
+    }
+}
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -1,9 +1,12 @@
 //! Experiment files: what is measured, at which sizes, and how the systems around the sidecars behave.
 
+mod check;
+
 use crate::endpoint::EndpointOptions;
 use crate::fault::Fault;
 use crate::topology::TopologySize;
 use serde::{Deserialize, Serialize};
+use std::fs;
 use std::io;
 use std::path::{Path, PathBuf};
 
@@ -219,39 +222,78 @@
         source: io::Error,
     },
     /// It is no experiment.
-    #[error("{}: {source}", path.display())]
+    #[error("{}: {}", path.display(), one_line(source))]
     Parse {
         /// The file.
         path: PathBuf,
         /// What is wrong with it, and where.
         source: Box<toml::de::Error>,
     },
-    /// A value makes no sense.
-    #[error("{}: {field} {problem}", path.display())]
-    Value {
+    /// Values make no sense.
+    #[error("{}", value_lines(path, faults))]
+    Values {
         /// The file.
         path: PathBuf,
-        /// The field, as a path.
-        field: String,
-        /// What is wrong with it.
-        problem: String,
+        /// All that is wrong with its values.
+        faults: Vec<ValueFault>,
     },
 }
 
+/// What is wrong with one value of an experiment file.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{field} {problem}")]
+pub struct ValueFault {
+    /// The field, as a path.
+    pub field: String,
+    /// What is wrong with it.
+    pub problem: String,
+}
+
+/// What the parser says, without its excerpt of the file.
+fn one_line(error: &toml::de::Error) -> String {
+    error.message().trim().replace('\n', "; ")
+}
+
+/// One line for each fault, each with the file's path.
+fn value_lines(path: &Path, faults: &[ValueFault]) -> String {
+    let lines: Vec<String> = faults.iter().map(|fault| format!("{}: {fault}", path.display())).collect();
+    lines.join("\n")
+}
+
 impl Experiment {
     /// Reads and checks a file.
     ///
     /// # Errors
-    /// It cannot be read or is no experiment, or a value makes no sense.
-    pub fn load(_path: &Path) -> Result<Self, ExperimentError> {
-        todo!()
+    /// It cannot be read or is no experiment, or values make no sense.
+    pub fn load(path: &Path) -> Result<Self, ExperimentError> {
+        let text = fs::read_to_string(path).map_err(|source| read_error(path, source))?;
+        let experiment: Experiment = toml::from_str(&text)
+            .map_err(|source| ExperimentError::Parse { path: path.into(), source: Box::new(source) })?;
+        let faults = check::faults(&experiment);
+        if faults.is_empty() {
+            Ok(experiment)
+        } else {
+            Err(ExperimentError::Values { path: path.into(), faults })
+        }
     }
 
     /// Reads all `.toml` files of a folder, by name.
     ///
     /// # Errors
     /// As [`Experiment::load`].
-    pub fn load_folder(_folder: &Path) -> Result<Vec<Self>, ExperimentError> {
-        todo!()
+    pub fn load_folder(folder: &Path) -> Result<Vec<Self>, ExperimentError> {
+        let mut paths = Vec::new();
+        for entry in fs::read_dir(folder).map_err(|source| read_error(folder, source))? {
+            let path = entry.map_err(|source| read_error(folder, source))?.path();
+            if path.extension().is_some_and(|extension| extension == "toml") {
+                paths.push(path);
+            }
+        }
+        paths.sort();
+        paths.iter().map(|path| Experiment::load(path)).collect()
     }
 }
+
+fn read_error(path: &Path, source: io::Error) -> ExperimentError {
+    ExperimentError::Read { path: path.into(), source }
+}
--- /dev/null
+++ b/lab/src/experiment/check.rs
@@ -0,0 +1,234 @@
+//! Checks of an experiment's values: sizes, rates, shares and durations within bounds that one machine can run.
+
+use super::{
+    AddedLatency, AddedLatencyByDepth, ControlCost, DiscoveryCapacity, Experiment, Failures, Fleet,
+    FleetRestart, Measurement, Memory, Outage, Propagation, RetryAmplification, ValueFault,
+};
+use crate::endpoint::{EndpointOptions, ServiceTime};
+use crate::fault::Fault;
+use crate::topology::TopologySize;
+use std::ops::RangeInclusive;
+
+/// The most hollow sidecars of a fleet.
+const MOST_SIDECARS: u32 = 1_000;
+/// The most real sidecar processes of a measurement.
+const MOST_PROCESSES: u64 = 300;
+/// The most endpoints of a measurement.
+const MOST_ENDPOINTS: u32 = 5_000;
+/// The most connections or open requests that are held at once; a sidecar is given 4,096 descriptors, of which an open
+/// request takes two.
+const MOST_HELD: u32 = 2_000;
+/// The most tiers of a chain.
+const MOST_TIERS: u32 = 32;
+/// The most changes, reloads or faults of a measurement.
+const MOST_EVENTS: u32 = 10_000;
+/// Calls a second, over all sidecars.
+const HIGHEST_RATE: f64 = 100_000.0;
+/// The longest duration, in seconds.
+const LONGEST_SECONDS: f64 = 600.0;
+/// The longest time that an endpoint works on a request, in milliseconds.
+const LONGEST_SERVICE_MILLISECONDS: f64 = 60_000.0;
+/// The largest body, in bytes.
+const LARGEST_BODY: u32 = 64 << 10;
+
+/// All faults of an experiment's values.
+pub(super) fn faults(experiment: &Experiment) -> Vec<ValueFault> {
+    let mut faults = Faults::default();
+    faults.require("name", !experiment.name.trim().is_empty(), "is empty");
+    faults.require("purpose", !experiment.purpose.trim().is_empty(), "is empty");
+    match &experiment.measure {
+        Measurement::AddedLatency(plan) => added_latency(plan, &mut faults),
+        Measurement::AddedLatencyByDepth(plan) => added_latency_by_depth(plan, &mut faults),
+        Measurement::RetryAmplification(plan) => retry_amplification(plan, &mut faults),
+        Measurement::Memory(plan) => memory(plan, &mut faults),
+        Measurement::ControlCost(plan) => control_cost(plan, &mut faults),
+        Measurement::Propagation(plan) => propagation(plan, &mut faults),
+        Measurement::Outage(plan) => outage(plan, &mut faults),
+        Measurement::FleetRestart(plan) => fleet_restart(plan, &mut faults),
+        Measurement::Failures(plan) => failures(plan, &mut faults),
+    }
+    faults.0
+}
+
+/// Collects what is wrong.
+#[derive(Default)]
+struct Faults(Vec<ValueFault>);
+
+impl Faults {
+    fn require(&mut self, field: &str, holds: bool, problem: impl Into<String>) {
+        if !holds {
+            self.0.push(ValueFault { field: field.into(), problem: problem.into() });
+        }
+    }
+
+    fn within(&mut self, field: &str, value: impl Into<f64>, bounds: RangeInclusive<f64>) {
+        let value = value.into();
+        let problem = format!("is {value}, not from {} to {}", bounds.start(), bounds.end());
+        self.require(field, bounds.contains(&value), problem);
+    }
+
+    fn share(&mut self, field: &str, value: f64) {
+        self.within(field, value, 0.0..=1.0);
+    }
+
+    fn count(&mut self, field: &str, value: u32, most: u32) {
+        self.within(field, value, 1.0..=f64::from(most));
+    }
+
+    /// More than none, and at most `most`.
+    fn positive(&mut self, field: &str, value: f64, most: f64) {
+        let problem = format!("is {value}, not above 0 and at most {most}");
+        self.require(field, value > 0.0 && value <= most, problem);
+    }
+
+    fn seconds(&mut self, field: &str, value: f64) {
+        self.positive(field, value, LONGEST_SECONDS);
+    }
+
+    fn seconds_or_none(&mut self, field: &str, value: f64) {
+        self.within(field, value, 0.0..=LONGEST_SECONDS);
+    }
+
+    /// Sizes are there, positive, bounded, and each is above the one before.
+    fn sizes<T: Copy + Into<f64>>(&mut self, field: &str, sizes: &[T], most: f64) {
+        let sizes: Vec<f64> = sizes.iter().map(|size| (*size).into()).collect();
+        self.require(field, !sizes.is_empty(), "is empty");
+        self.require(field, sizes.windows(2).all(|pair| pair[0] < pair[1]), "is not increasing");
+        for size in sizes {
+            self.positive(field, size, most);
+        }
+    }
+}
+
+fn added_latency(plan: &AddedLatency, faults: &mut Faults) {
+    faults.count("measure.endpoints", plan.endpoints, MOST_ENDPOINTS);
+    faults.sizes("measure.rates", &plan.rates, HIGHEST_RATE);
+    faults.within("measure.changes_per_second", plan.changes_per_second, 0.0..=1_000.0);
+    faults.share("measure.unsafe_share", plan.unsafe_share);
+    endpoint_options(&plan.endpoint, faults);
+    faults.seconds_or_none("measure.warm_up_seconds", plan.warm_up_seconds);
+    faults.seconds("measure.seconds", plan.seconds);
+}
+
+fn added_latency_by_depth(plan: &AddedLatencyByDepth, faults: &mut Faults) {
+    chain(&plan.depths, plan.endpoints_per_tier, faults);
+    faults.positive("measure.calls_per_second", plan.calls_per_second, HIGHEST_RATE);
+    endpoint_options(&plan.endpoint, faults);
+    faults.seconds_or_none("measure.warm_up_seconds", plan.warm_up_seconds);
+    faults.seconds("measure.seconds", plan.seconds);
+}
+
+fn retry_amplification(plan: &RetryAmplification, faults: &mut Faults) {
+    chain(&plan.depths, plan.endpoints_per_tier, faults);
+    faults.positive("measure.calls_per_second", plan.calls_per_second, HIGHEST_RATE);
+    faults.share("measure.error_share", plan.error_share);
+    endpoint_options(&plan.endpoint, faults);
+    faults.seconds("measure.seconds", plan.seconds);
+}
+
+/// Chains in which each endpoint but those of the last tier has a sidecar of its own.
+fn chain(depths: &[u32], endpoints_per_tier: u32, faults: &mut Faults) {
+    faults.sizes("measure.depths", depths, MOST_TIERS.into());
+    faults.count("measure.endpoints_per_tier", endpoints_per_tier, MOST_ENDPOINTS);
+    let deepest = depths.iter().copied().max().unwrap_or(0);
+    let processes = 1 + u64::from(deepest.saturating_sub(1)) * u64::from(endpoints_per_tier);
+    let problem = format!("needs {processes} sidecar processes, more than {MOST_PROCESSES}");
+    faults.require("measure.depths", processes <= MOST_PROCESSES, problem);
+}
+
+fn memory(plan: &Memory, faults: &mut Faults) {
+    faults.sizes("measure.endpoints", &plan.endpoints, MOST_ENDPOINTS.into());
+    faults.sizes("measure.open_requests", &plan.open_requests, MOST_HELD.into());
+    faults.sizes("measure.caller_connections", &plan.caller_connections, MOST_HELD.into());
+}
+
+fn control_cost(plan: &ControlCost, faults: &mut Faults) {
+    faults.count("measure.endpoints", plan.endpoints, MOST_ENDPOINTS);
+    faults.sizes("measure.changes", &plan.changes, MOST_EVENTS.into());
+    faults.sizes("measure.reloads", &plan.reloads, MOST_EVENTS.into());
+    faults.sizes("measure.probing_rates", &plan.probing_rates, HIGHEST_RATE);
+    faults.seconds("measure.seconds", plan.seconds);
+}
+
+fn propagation(plan: &Propagation, faults: &mut Faults) {
+    fleet(&plan.fleet, faults);
+    faults.count("measure.changes", plan.changes, MOST_EVENTS);
+    faults.seconds("measure.longest_seconds", plan.longest_seconds);
+}
+
+fn outage(plan: &Outage, faults: &mut Faults) {
+    fleet(&plan.fleet, faults);
+    faults.seconds("measure.outage_seconds", plan.outage_seconds);
+    faults.seconds("measure.longest_seconds", plan.longest_seconds);
+}
+
+fn fleet_restart(plan: &FleetRestart, faults: &mut Faults) {
+    fleet(&plan.fleet, faults);
+    faults.seconds("measure.longest_seconds", plan.longest_seconds);
+}
+
+fn failures(plan: &Failures, faults: &mut Faults) {
+    topology(&plan.topology, faults);
+    faults.within("measure.calls_per_second", plan.calls_per_second, 0.0..=HIGHEST_RATE);
+    discovery("measure.discovery", &plan.discovery, faults);
+    faults.require("measure.faults", !plan.faults.is_empty(), "is empty");
+    for (place, fault) in plan.faults.iter().enumerate() {
+        fault_size(&format!("measure.faults.{place}"), fault, plan.topology.endpoints, faults);
+    }
+    faults.seconds("measure.fault_seconds", plan.fault_seconds);
+    faults.seconds_or_none("measure.rest_seconds", plan.rest_seconds);
+}
+
+fn fleet(plan: &Fleet, faults: &mut Faults) {
+    faults.sizes("measure.fleet.sizes", &plan.sizes, MOST_SIDECARS.into());
+    faults.count("measure.fleet.endpoints", plan.endpoints, MOST_ENDPOINTS);
+    faults.within("measure.fleet.calls_per_second", plan.calls_per_second, 0.0..=HIGHEST_RATE);
+    discovery("measure.fleet.discovery", &plan.discovery, faults);
+}
+
+fn discovery(field: &str, capacity: &DiscoveryCapacity, faults: &mut Faults) {
+    faults.positive(&format!("{field}.calls_per_second"), capacity.calls_per_second, HIGHEST_RATE);
+    faults.seconds(&format!("{field}.longest_wait_seconds"), capacity.longest_wait_seconds);
+}
+
+fn topology(size: &TopologySize, faults: &mut Faults) {
+    faults.count("measure.topology.regions", size.regions, 16);
+    faults.count("measure.topology.zones_per_region", size.zones_per_region, 16);
+    faults.count("measure.topology.racks_per_zone", size.racks_per_zone, 64);
+    faults.count("measure.topology.services", size.services, MOST_SIDECARS);
+    faults.count("measure.topology.endpoints", size.endpoints, MOST_SIDECARS);
+}
+
+fn fault_size(field: &str, fault: &Fault, endpoints: u32, faults: &mut Faults) {
+    match fault {
+        Fault::Machines { count } => faults.count(&format!("{field}.count"), *count, endpoints),
+        Fault::Restarts { count, wave } => {
+            faults.count(&format!("{field}.count"), *count, endpoints);
+            faults.count(&format!("{field}.wave"), *wave, *count);
+        }
+        Fault::Rack | Fault::Zone | Fault::RegionCut | Fault::DiscoveryOutage => {}
+    }
+}
+
+fn endpoint_options(options: &EndpointOptions, faults: &mut Faults) {
+    faults.count("measure.endpoint.cores", options.cores, 100_000);
+    faults.within("measure.endpoint.queue", options.queue, 0.0..=100_000.0);
+    service_time(options.service_time, faults);
+    if let Some(ramp) = &options.cold_ramp {
+        faults.share("measure.endpoint.cold_ramp.from", ramp.from);
+    }
+    let body_fits = options.answer_bytes <= LARGEST_BODY as usize;
+    faults.require("measure.endpoint.answer_bytes", body_fits, format!("is above {LARGEST_BODY}"));
+    faults.share("measure.endpoint.error_share", options.error_share);
+}
+
+fn service_time(service_time: ServiceTime, faults: &mut Faults) {
+    let (field, milliseconds) = match service_time {
+        ServiceTime::None => return,
+        ServiceTime::Fixed { milliseconds } => ("measure.endpoint.service_time.milliseconds", milliseconds),
+        ServiceTime::Exponential { mean_milliseconds } => {
+            ("measure.endpoint.service_time.mean_milliseconds", mean_milliseconds)
+        }
+    };
+    faults.within(field, milliseconds, 0.0..=LONGEST_SERVICE_MILLISECONDS);
+}
--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -2,9 +2,15 @@
 
 use crate::measure::{Point, Slope};
 use serde::Serialize;
+use std::fs;
 use std::io;
 use std::path::Path;
 
+/// Digits of a number in a table.
+const SIGNIFICANT_DIGITS: i32 = 3;
+/// The most digits after the decimal point.
+const MOST_DECIMALS: i32 = 9;
+
 /// One figure, measured at several sizes.
 #[derive(Clone, Debug, Serialize)]
 pub struct Figure {
@@ -53,12 +59,115 @@
     ///
     /// # Errors
     /// A file could not be written.
-    pub fn write(&self, _folder: &Path) -> io::Result<()> {
-        todo!()
+    pub fn write(&self, folder: &Path) -> io::Result<()> {
+        fs::create_dir_all(folder)?;
+        let json = serde_json::to_string_pretty(self)?;
+        replace_file(&folder.join("results.json"), &json)?;
+        replace_file(&folder.join("results.md"), &self.markdown())
     }
 
-    /// The report as Markdown: a table for each figure, and one of all slopes.
+    /// The report as Markdown: a table for each figure, and one of all slopes, for each experiment.
     pub fn markdown(&self) -> String {
-        todo!()
+        let mut text = format!(
+            "# Scale report\n\nProgram: {}. Processors: {}.\n",
+            escape(&self.program),
+            self.processors
+        );
+        for experiment in &self.experiments {
+            text.push('\n');
+            text.push_str(&experiment.markdown());
+        }
+        text
+    }
+}
+
+impl ExperimentReport {
+    /// This experiment's section of the report.
+    pub fn markdown(&self) -> String {
+        let mut text =
+            format!("## {}\n\nSeed {}, {} s.\n", escape(&self.experiment), self.seed, number(self.seconds));
+        for figure in &self.figures {
+            push_figure(&mut text, figure);
+        }
+        push_slopes(&mut text, &self.figures);
+        push_problems(&mut text, &self.problems);
+        text
+    }
+}
+
+fn push_figure(text: &mut String, figure: &Figure) {
+    text.push_str(&format!("\n### {}\n\n", escape(&figure.name)));
+    text.push_str(&format!(
+        "| {} | {} |\n| ---: | ---: |\n",
+        escape(&figure.size_unit),
+        escape(&figure.unit)
+    ));
+    for point in &figure.points {
+        text.push_str(&format!("| {} | {} |\n", number(point.size), number(point.value)));
+    }
+    if let Some(note) = &figure.note {
+        text.push_str(&format!("\n{note}\n"));
+    }
+}
+
+fn push_slopes(text: &mut String, figures: &[Figure]) {
+    if figures.iter().all(|figure| figure.slope.is_none()) {
+        return;
+    }
+    text.push_str(
+        "\n### Slopes\n\n| figure | unit | intercept | per unit | unexplained | largest residual |\n",
+    );
+    text.push_str("| --- | --- | ---: | ---: | ---: | ---: |\n");
+    for figure in figures {
+        let Some(slope) = &figure.slope else { continue };
+        text.push_str(&format!(
+            "| {} | {}, by {} | {} | {} | {} | {} |\n",
+            escape(&figure.name),
+            escape(&figure.unit),
+            escape(&figure.size_unit),
+            number(slope.intercept),
+            number(slope.per_unit),
+            number(slope.unexplained),
+            number(slope.largest_residual)
+        ));
     }
 }
+
+fn push_problems(text: &mut String, problems: &[String]) {
+    if problems.is_empty() {
+        return;
+    }
+    text.push_str("\n### Problems\n\n");
+    for problem in problems {
+        text.push_str(&format!("- {problem}\n"));
+    }
+}
+
+/// Text that may stand in a table.
+fn escape(text: &str) -> String {
+    text.replace('|', "\\|")
+}
+
+/// A number with [`SIGNIFICANT_DIGITS`], or all digits that stand before the decimal point.
+fn number(value: f64) -> String {
+    if !value.is_finite() {
+        return "none".into();
+    }
+    if value.fract() == 0.0 {
+        return format!("{value:.0}");
+    }
+    let magnitude = value.abs().log10().floor() as i32;
+    let decimals = (SIGNIFICANT_DIGITS - 1 - magnitude).clamp(0, MOST_DECIMALS);
+    let text = format!("{value:.*}", decimals as usize);
+    match text.contains('.') {
+        true => text.trim_end_matches('0').trim_end_matches('.').into(),
+        false => text,
+    }
+}
+
+/// Replaces a file as a whole, so that a stop in between leaves the last one.
+fn replace_file(path: &Path, text: &str) -> io::Result<()> {
+    let partial = path.with_extension("partial");
+    fs::write(&partial, text)?;
+    fs::rename(partial, path)
+}
--- /dev/null
+++ b/lab/tests/report.rs
@@ -0,0 +1,92 @@
+//! Reports: their Markdown, and their files.
+
+use pipittray_lab::measure::{Point, Slope};
+use pipittray_lab::report::{ExperimentReport, Figure, Report};
+use std::fs;
+
+const MARKDOWN: &str = "\
+# Scale report
+
+Program: 04e97b6. Processors: 8.
+
+## memory
+
+Seed 7, 12.3 s.
+
+### memory by endpoints
+
+| endpoints | bytes |
+| ---: | ---: |
+| 10 | 4096 |
+| 500 | 512346 |
+
+Anonymous memory.
+
+### probes a call
+
+| calls/s | 1 |
+| ---: | ---: |
+| 72 | 0.0123 |
+
+### Slopes
+
+| figure | unit | intercept | per unit | unexplained | largest residual |
+| --- | --- | ---: | ---: | ---: | ---: |
+| memory by endpoints | bytes, by endpoints | 100 | 1.5 | 0.00123 | 0 |
+
+### Problems
+
+- of 10 requests 9 were open at once
+";
+
+fn figure(name: &str, unit: &str, size_unit: &str, points: &[(f64, f64)]) -> Figure {
+    Figure {
+        name: name.into(),
+        unit: unit.into(),
+        size_unit: size_unit.into(),
+        points: points.iter().map(|(size, value)| Point { size: *size, value: *value }).collect(),
+        slope: None,
+        note: None,
+    }
+}
+
+fn report() -> Report {
+    let slope = Slope { intercept: 100.0, per_unit: 1.5, unexplained: 0.001_234, largest_residual: 0.0 };
+    let memory = Figure {
+        slope: Some(slope),
+        note: Some("Anonymous memory.".into()),
+        ..figure("memory by endpoints", "bytes", "endpoints", &[(10.0, 4_096.0), (500.0, 512_345.6)])
+    };
+    Report {
+        program: "04e97b6".into(),
+        processors: 8,
+        experiments: vec![ExperimentReport {
+            experiment: "memory".into(),
+            seed: 7,
+            seconds: 12.345,
+            figures: vec![memory, figure("probes a call", "1", "calls/s", &[(72.0, 0.012_345)])],
+            problems: vec!["of 10 requests 9 were open at once".into()],
+        }],
+    }
+}
+
+#[test]
+fn a_known_report_has_this_markdown() {
+    assert_eq!(report().markdown(), MARKDOWN);
+}
+
+#[test]
+fn a_report_is_written_whole_and_replaces_the_last_one() {
+    let folder = tempfile::tempdir().unwrap();
+    let output = folder.path().join("new").join("folder");
+    let mut report = report();
+    report.write(&output).unwrap();
+    report.program = "later".into();
+    report.write(&output).unwrap();
+    assert_eq!(fs::read_to_string(output.join("results.md")).unwrap(), report.markdown());
+    let json: serde_json::Value =
+        serde_json::from_slice(&fs::read(output.join("results.json")).unwrap()).unwrap();
+    assert_eq!(json["program"], "later");
+    assert_eq!(json["experiments"][0]["figures"][0]["points"][1]["size"], 500.0);
+    assert_eq!(fs::read_dir(&output).unwrap().count(), 2);
+}
