--- a/lab/src/scenario/control_cost.rs
+++ b/lab/src/scenario/control_cost.rs
@@ -1,8 +1,221 @@
 //! Processor time and bytes for changes of the list, probes and reloads of a real sidecar.
 
+use super::latency::toggle_weight;
+use super::series::Series;
+use super::single::{CALLER_DEADLINE, SAFE_CLASS, Single, SingleOptions, unserved};
 use super::{Findings, RunContext, ScenarioError};
+use crate::caller::{self, LoadPlan, LoadTarget};
+use crate::discovery::EndpointEntry;
+use crate::endpoint::{EndpointHandle, EndpointOptions, ServiceTime};
 use crate::experiment::ControlCost;
+use crate::report::Figure;
+use std::thread;
+use std::time::{Duration, Instant};
 
-pub(super) fn run(_plan: &ControlCost, _seed: u64, _context: &RunContext) -> Result<Findings, ScenarioError> {
-    todo!()
+/// The worth that a reload gives the class of safe requests, in turn with its own.
+const CHANGED_WORTH: f64 = 0.9;
+/// How long a sidecar rests before its idle state is measured.
+const SETTLE: Duration = Duration::from_secs(1);
+
+/// Endpoints that answer at once, with load reports.
+const ENDPOINT: EndpointOptions = EndpointOptions {
+    cores: 64,
+    queue: 64,
+    service_time: ServiceTime::None,
+    cold_ramp: None,
+    load_reports: true,
+    answer_bytes: 100,
+    error_share: 0.0,
+};
+
+pub(super) fn run(plan: &ControlCost, seed: u64, context: &RunContext) -> Result<Findings, ScenarioError> {
+    let period = Duration::from_secs_f64(plan.seconds);
+    let mut findings = Findings::default();
+    {
+        let single = start(plan.endpoints, false, seed, context)?;
+        thread::sleep(SETTLE);
+        let idle = Cost::over(&single, || {
+            thread::sleep(period);
+            Ok(())
+        })?;
+        findings.figures.extend(idle_figures(plan.endpoints, &idle, period));
+        findings.figures.extend(changes(plan, &single, &idle, period)?);
+        findings.figures.extend(reloads(plan, &single, &idle, period)?);
+    }
+    probes(plan, seed, context, period, &mut findings)?;
+    Ok(findings)
+}
+
+/// What something cost the sidecar and discovery.
+struct Cost {
+    processor_time: Duration,
+    watch_bytes: u64,
+}
+
+impl Cost {
+    /// What this costs while it runs.
+    fn over(
+        single: &Single,
+        action: impl FnOnce() -> Result<(), ScenarioError>,
+    ) -> Result<Self, ScenarioError> {
+        let usage = single.usage()?;
+        let bytes = single.discovery.usage().bytes_written;
+        action()?;
+        Ok(Cost {
+            processor_time: single.usage()?.processor_time.saturating_sub(usage.processor_time),
+            watch_bytes: single.discovery.usage().bytes_written - bytes,
+        })
+    }
+
+    /// Processor time beyond that of an idle period of the same length, in milliseconds.
+    fn milliseconds_beyond(&self, idle: &Cost) -> f64 {
+        (self.processor_time.as_secs_f64() - idle.processor_time.as_secs_f64()) * 1e3
+    }
+
+    /// Bytes of the watch beyond those of an idle period of the same length.
+    fn bytes_beyond(&self, idle: &Cost) -> f64 {
+        self.watch_bytes as f64 - idle.watch_bytes as f64
+    }
+}
+
+fn start(endpoints: u32, probes: bool, seed: u64, context: &RunContext) -> Result<Single, ScenarioError> {
+    let options = SingleOptions { endpoints, endpoint: &ENDPOINT, deadline: CALLER_DEADLINE, probes, seed };
+    Single::start(&options, context)
+}
+
+fn idle_figures(endpoints: u32, idle: &Cost, period: Duration) -> Vec<Figure> {
+    let seconds = period.as_secs_f64();
+    let size = f64::from(endpoints);
+    let mut series = Series::over("endpoints");
+    let microseconds = idle.processor_time.as_secs_f64() * 1e6;
+    series.add("idle processor time a second", "µs", size, microseconds / seconds);
+    series.add("idle watch a second", "bytes", size, idle.watch_bytes as f64 / seconds);
+    series.with_slopes()
+}
+
+/// Runs an action so many times, evenly within a period, and waits for the period's end.
+fn spread(
+    count: u32,
+    period: Duration,
+    mut action: impl FnMut(usize) -> Result<(), ScenarioError>,
+) -> Result<(), ScenarioError> {
+    let started = Instant::now();
+    for number in 0..count {
+        let due = started + period * number / count;
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        action(number as usize)?;
+    }
+    thread::sleep((started + period).saturating_duration_since(Instant::now()));
+    Ok(())
+}
+
+fn changes(
+    plan: &ControlCost,
+    single: &Single,
+    idle: &Cost,
+    period: Duration,
+) -> Result<Vec<Figure>, ScenarioError> {
+    let mut entries: Vec<EndpointEntry> = single.endpoints.iter().map(EndpointHandle::entry).collect();
+    let mut series = Series::over("changes");
+    for count in &plan.changes {
+        let cost = Cost::over(single, || {
+            spread(*count, period, |number| {
+                let place = number % entries.len();
+                single.discovery.publish(vec![toggle_weight(&mut entries[place])]);
+                Ok(())
+            })
+        })?;
+        let size = f64::from(*count);
+        series.add("processor time for changes", "ms", size, cost.milliseconds_beyond(idle));
+        series.add("watch for changes", "bytes", size, cost.bytes_beyond(idle));
+    }
+    Ok(series.with_slopes())
+}
+
+fn reloads(
+    plan: &ControlCost,
+    single: &Single,
+    idle: &Cost,
+    period: Duration,
+) -> Result<Vec<Figure>, ScenarioError> {
+    let mut configuration = single.configuration.clone();
+    let mut series = Series::over("reloads");
+    for count in &plan.reloads {
+        let cost = Cost::over(single, || {
+            spread(*count, period, |_| {
+                let worth = &mut configuration.classes[0].worth;
+                *worth = if *worth == CHANGED_WORTH { 1.0 } else { CHANGED_WORTH };
+                single.sidecar.reload(&configuration).map_err(ScenarioError::step("reload"))
+            })
+        })?;
+        series.add("processor time for reloads", "ms", f64::from(*count), cost.milliseconds_beyond(idle));
+    }
+    series.note(
+        "processor time for reloads",
+        "With the calls to the operators' address that wait for each reload.",
+    );
+    Ok(series.with_slopes())
+}
+
+/// Probes that a sidecar makes at each rate of calls, and what a call costs it with them and without.
+fn probes(
+    plan: &ControlCost,
+    seed: u64,
+    context: &RunContext,
+    period: Duration,
+    findings: &mut Findings,
+) -> Result<(), ScenarioError> {
+    let probing = start(plan.endpoints, true, seed, context)?;
+    let reported = start(plan.endpoints, false, seed, context)?;
+    let mut series = Series::over("calls/s");
+    for rate in &plan.probing_rates {
+        let with = call_cost(&probing, *rate, period, seed, &mut findings.problems)?;
+        let without = call_cost(&reported, *rate, period, seed, &mut findings.problems)?;
+        series.add("probes a call", "1", *rate, with.probes / with.calls);
+        series.add("probes a second", "1", *rate, with.probes / period.as_secs_f64());
+        series.add("processor time a call with probes", "µs", *rate, with.microseconds / with.calls);
+        let microseconds = without.microseconds / without.calls;
+        series.add("processor time a call without probes", "µs", *rate, microseconds);
+    }
+    findings.figures.extend(series.with_slopes());
+    Ok(())
+}
+
+/// What calls at one rate came to.
+struct CallCost {
+    calls: f64,
+    probes: f64,
+    microseconds: f64,
+}
+
+fn call_cost(
+    single: &Single,
+    rate: f64,
+    period: Duration,
+    seed: u64,
+    problems: &mut Vec<String>,
+) -> Result<CallCost, ScenarioError> {
+    let target = LoadTarget {
+        address: single.sidecar.address(),
+        calls_per_second: rate,
+        class: SAFE_CLASS.into(),
+        is_unsafe: false,
+        deadline: CALLER_DEADLINE,
+    };
+    let load = LoadPlan { targets: vec![target], warm_up: Duration::ZERO, duration: period, seed };
+    let probes = single.endpoint_probes();
+    let mut calls = 0;
+    let cost = Cost::over(single, || {
+        for result in caller::run(&load).map_err(ScenarioError::step("run the callers"))? {
+            calls += result.sent;
+            let what = if single.configuration.probes { "with probes" } else { "without probes" };
+            problems.extend(unserved(&format!("{what} at {rate} calls/s"), &result));
+        }
+        Ok(())
+    })?;
+    Ok(CallCost {
+        calls: calls.max(1) as f64,
+        probes: (single.endpoint_probes() - probes) as f64,
+        microseconds: cost.processor_time.as_secs_f64() * 1e6,
+    })
 }
--- a/lab/src/scenario/depth.rs
+++ b/lab/src/scenario/depth.rs
@@ -1,20 +1,101 @@
 //! Chains of tiers, each with its real sidecar: latency that they add, and attempts that retries multiply, by depth.
 
+use super::chain::{Chain, ChainOptions, start_straight_chain};
+use super::series::Series;
+use super::single::{CALLER_DEADLINE, SAFE_CLASS, quantile_ms, unserved};
 use super::{Findings, RunContext, ScenarioError};
+use crate::caller::{self, LoadPlan, LoadTarget, TargetResult};
+use crate::endpoint::EndpointOptions;
 use crate::experiment::{AddedLatencyByDepth, RetryAmplification};
+use std::net::SocketAddr;
+use std::time::Duration;
 
 pub(super) fn run_latency(
-    _plan: &AddedLatencyByDepth,
-    _seed: u64,
-    _context: &RunContext,
+    plan: &AddedLatencyByDepth,
+    seed: u64,
+    context: &RunContext,
 ) -> Result<Findings, ScenarioError> {
-    todo!()
+    let mut series = Series::over("tiers");
+    let mut problems = Vec::new();
+    for depth in &plan.depths {
+        let options = ChainOptions {
+            depth: *depth,
+            endpoints_per_tier: plan.endpoints_per_tier,
+            endpoint: &plan.endpoint,
+            last_endpoint: &plan.endpoint,
+            seed,
+        };
+        let chain = Chain::start(&options, context)?;
+        let straight = start_straight_chain(&chain.host, *depth, &plan.endpoint)?;
+        let load = LoadPlan {
+            targets: [straight, chain.address()].map(|to| target(to, plan.calls_per_second)).into(),
+            warm_up: Duration::from_secs_f64(plan.warm_up_seconds),
+            duration: Duration::from_secs_f64(plan.seconds),
+            seed,
+        };
+        let results = run_callers(&load)?;
+        let [straight, through] = &results[..] else {
+            return Err(ScenarioError::NotReached("a result for each target".into()));
+        };
+        add_latencies(&mut series, f64::from(*depth), straight, through);
+        problems.extend(unserved(&format!("straight over {depth} tiers"), straight));
+        problems.extend(unserved(&format!("through sidecars over {depth} tiers"), through));
+    }
+    Ok(Findings { figures: series.with_slopes(), problems })
+}
+
+fn add_latencies(series: &mut Series, depth: f64, straight: &TargetResult, through: &TargetResult) {
+    for (name, quantile) in [("p50", 0.5), ("p99", 0.99)] {
+        let straight_ms = quantile_ms(&straight.latencies, quantile);
+        let through_ms = quantile_ms(&through.latencies, quantile);
+        series.add(&format!("straight {name}"), "ms", depth, straight_ms);
+        series.add(&format!("through {name}"), "ms", depth, through_ms);
+        series.add(&format!("added {name}"), "ms", depth, through_ms - straight_ms);
+    }
 }
 
 pub(super) fn run_amplification(
-    _plan: &RetryAmplification,
-    _seed: u64,
-    _context: &RunContext,
+    plan: &RetryAmplification,
+    seed: u64,
+    context: &RunContext,
 ) -> Result<Findings, ScenarioError> {
-    todo!()
+    let mut series = Series::over("tiers");
+    let failing = EndpointOptions { error_share: plan.error_share, ..plan.endpoint.clone() };
+    for depth in &plan.depths {
+        let options = ChainOptions {
+            depth: *depth,
+            endpoints_per_tier: plan.endpoints_per_tier,
+            endpoint: &plan.endpoint,
+            last_endpoint: &failing,
+            seed,
+        };
+        let chain = Chain::start(&options, context)?;
+        let load = LoadPlan {
+            targets: vec![target(chain.address(), plan.calls_per_second)],
+            warm_up: Duration::ZERO,
+            duration: Duration::from_secs_f64(plan.seconds),
+            seed,
+        };
+        let results = run_callers(&load)?;
+        let calls = results.iter().map(|result| result.sent).sum::<u64>().max(1) as f64;
+        let served = results.iter().map(|result| result.served).sum::<u64>() as f64;
+        let size = f64::from(*depth);
+        series.add("attempts at the last tier a call", "1", size, chain.last_requests() as f64 / calls);
+        series.add("served share", "1", size, served / calls);
+    }
+    Ok(Findings { figures: series.with_slopes(), problems: Vec::new() })
+}
+
+fn run_callers(load: &LoadPlan) -> Result<Vec<TargetResult>, ScenarioError> {
+    caller::run(load).map_err(ScenarioError::step("run the callers"))
+}
+
+fn target(address: SocketAddr, calls_per_second: f64) -> LoadTarget {
+    LoadTarget {
+        address,
+        calls_per_second,
+        class: SAFE_CLASS.into(),
+        is_unsafe: false,
+        deadline: CALLER_DEADLINE,
+    }
 }
--- /dev/null
+++ b/lab/src/scenario/held.rs
@@ -0,0 +1,102 @@
+//! Connections that callers hold open to a sidecar: with a request that is not answered yet, or idle.
+
+use super::single::{SAFE_CLASS, UNSAFE_CLASS};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// How long an answer may take.
+const LONGEST_ANSWER: Duration = Duration::from_secs(5);
+/// The most header fields of an answer.
+const MOST_HEADERS: usize = 32;
+/// The largest answer, in bytes.
+const LARGEST_ANSWER: usize = 16 << 10;
+
+/// Connections to one sidecar, each held until all are dropped.
+pub(super) struct HeldConnections {
+    address: SocketAddr,
+    deadline: Duration,
+    connections: Vec<TcpStream>,
+}
+
+impl HeldConnections {
+    /// None yet.
+    pub(super) fn new(address: SocketAddr, deadline: Duration) -> Self {
+        HeldConnections { address, deadline, connections: Vec::new() }
+    }
+
+    /// Opens connections until there are so many, each with a request that is unsafe to repeat and whose answer is not
+    /// waited for.
+    pub(super) fn open_requests(&mut self, count: usize) -> io::Result<()> {
+        while self.connections.len() < count {
+            let request = self.request("POST", UNSAFE_CLASS);
+            let mut connection = self.connect()?;
+            connection.write_all(request.as_bytes())?;
+            self.connections.push(connection);
+        }
+        Ok(())
+    }
+
+    /// Opens connections until there are so many, each idle after one answered request.
+    pub(super) fn open_idle(&mut self, count: usize) -> io::Result<()> {
+        while self.connections.len() < count {
+            let request = self.request("GET", SAFE_CLASS);
+            let mut connection = self.connect()?;
+            connection.write_all(request.as_bytes())?;
+            read_answer(&mut connection)?;
+            self.connections.push(connection);
+        }
+        Ok(())
+    }
+
+    fn connect(&self) -> io::Result<TcpStream> {
+        let connection = TcpStream::connect(self.address)?;
+        connection.set_nodelay(true)?;
+        connection.set_read_timeout(Some(LONGEST_ANSWER))?;
+        Ok(connection)
+    }
+
+    fn request(&self, method: &str, class: &str) -> String {
+        let number = self.connections.len();
+        let deadline = self.deadline.as_secs_f64();
+        let length = if method == "POST" { "Content-Length: 0\r\n" } else { "" };
+        format!(
+            "{method} /api HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: held-{class}-{number}\r\n\
+             X-Class: {class}\r\nX-Deadline: {deadline:.3}\r\n{length}\r\n"
+        )
+    }
+}
+
+/// Reads one answer with its body, whose length it has to tell.
+fn read_answer(connection: &mut TcpStream) -> io::Result<()> {
+    let mut answer = Vec::new();
+    let mut part = [0; 4096];
+    loop {
+        let read = connection.read(&mut part)?;
+        if read == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        answer.extend_from_slice(&part[..read]);
+        if answer_length(&answer)?.is_some_and(|length| answer.len() >= length) {
+            return Ok(());
+        }
+        if answer.len() > LARGEST_ANSWER {
+            return Err(io::Error::other("the answer does not end"));
+        }
+    }
+}
+
+/// The length of an answer with its head, once all of its head is there.
+fn answer_length(answer: &[u8]) -> io::Result<Option<usize>> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    let httparse::Status::Complete(head) = response.parse(answer).map_err(io::Error::other)? else {
+        return Ok(None);
+    };
+    if response.code != Some(200) {
+        return Err(io::Error::other(format!("answered {}", response.code.unwrap_or_default())));
+    }
+    let length = response.headers.iter().find(|header| header.name.eq_ignore_ascii_case("content-length"));
+    let length = length.and_then(|header| str::from_utf8(header.value).ok()?.parse::<usize>().ok());
+    length.map(|length| Some(head + length)).ok_or_else(|| io::Error::other("the answer tells no length"))
+}
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -1,14 +1,18 @@
 //! How each kind of experiment is run: what is started, loaded, broken and measured, in which order.
 
+mod chain;
 mod control_cost;
 mod depth;
 mod failures;
 mod fleet;
 mod fleet_restart;
+mod held;
 mod latency;
 mod memory;
 mod outage;
 mod propagation;
+mod series;
+mod single;
 
 use crate::experiment::{Experiment, Measurement};
 use crate::report::{ExperimentReport, Figure};
--- /dev/null
+++ b/lab/src/scenario/series.rs
@@ -0,0 +1,49 @@
+//! Figures that are collected size by size.
+
+use crate::measure::{Point, Slope};
+use crate::report::Figure;
+
+/// Figures over one kind of size, in the order in which they were first added.
+pub(super) struct Series {
+    size_unit: &'static str,
+    figures: Vec<Figure>,
+}
+
+impl Series {
+    /// No figures yet; `size_unit` tells what the sizes count.
+    pub(super) fn over(size_unit: &'static str) -> Self {
+        Series { size_unit, figures: Vec::new() }
+    }
+
+    /// Adds a measurement to a figure.
+    pub(super) fn add(&mut self, name: &str, unit: &str, size: f64, value: f64) {
+        let point = Point { size, value };
+        if let Some(figure) = self.figures.iter_mut().find(|figure| figure.name == name) {
+            figure.points.push(point);
+            return;
+        }
+        self.figures.push(Figure {
+            name: name.into(),
+            unit: unit.into(),
+            size_unit: self.size_unit.into(),
+            points: vec![point],
+            slope: None,
+            note: None,
+        });
+    }
+
+    /// Tells what else is to be known of a figure.
+    pub(super) fn note(&mut self, name: &str, note: &str) {
+        if let Some(figure) = self.figures.iter_mut().find(|figure| figure.name == name) {
+            figure.note = Some(note.into());
+        }
+    }
+
+    /// The figures, each with the line through its measurements.
+    pub(super) fn with_slopes(mut self) -> Vec<Figure> {
+        for figure in &mut self.figures {
+            figure.slope = Slope::fit(&figure.points);
+        }
+        self.figures
+    }
+}
