Start real sidecars in the lab, and measure what a process uses and slopes over sizes

Need: the lab's experiments run the built sidecar, read its figures, and fit lines through what it uses.

--- a/lab/src/measure/process.rs
+++ b/lab/src/measure/process.rs
@@ -1,13 +1,19 @@
 //! What a process uses, as the kernel counts it.
 
+use procfs::ProcError;
+use procfs::process::{Process, Status, Task};
+use rustix::time::{ClockId, clock_gettime};
 use serde::Serialize;
 use std::io;
 use std::time::Duration;
 
+/// Bytes in the unit of `/proc/PID/status`.
+const KIBIBYTE: u64 = 1024;
+
 /// What a process uses at one moment.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
 pub struct ProcessUsage {
-    /// Processor time since its start, over all threads (from `/proc/PID/schedstat` and its tasks, in nanoseconds).
+    /// Processor time since its start, over all threads that run (from `/proc/PID/task/*/schedstat`, in nanoseconds).
     pub processor_time: Duration,
     /// Resident memory without what is shared with files (anonymous), in bytes.
     pub anonymous_bytes: u64,
@@ -21,13 +27,55 @@
     /// Reads what a process uses.
     ///
     /// # Errors
-    /// There is no such process.
-    pub fn of(_process: u32) -> io::Result<Self> {
-        todo!()
+    /// There is no such process, or it has ended and was not waited for yet.
+    pub fn of(process: u32) -> io::Result<Self> {
+        let number = i32::try_from(process).map_err(io::Error::other)?;
+        let process = Process::new(number).map_err(into_io_error)?;
+        let status = process.status().map_err(into_io_error)?;
+        let (anonymous_bytes, resident_bytes) = memory(&status)?;
+        Ok(ProcessUsage {
+            processor_time: processor_time(&process)?,
+            anonymous_bytes,
+            resident_bytes,
+            descriptors: process.fd_count().map_err(into_io_error)? as u64,
+        })
     }
 }
 
 /// Processor time that the calling thread has used.
 pub fn thread_processor_time() -> Duration {
-    todo!()
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanoseconds = u64::try_from(time.tv_nsec).unwrap_or_default();
+    Duration::from_secs(seconds) + Duration::from_nanos(nanoseconds)
+}
+
+/// Anonymous and resident bytes. A process that has ended has no memory, so its status lacks both.
+fn memory(status: &Status) -> io::Result<(u64, u64)> {
+    match (status.rssanon, status.vmrss) {
+        (Some(anonymous), Some(resident)) => Ok((anonymous * KIBIBYTE, resident * KIBIBYTE)),
+        _ => Err(io::Error::new(io::ErrorKind::NotFound, "the process has ended")),
+    }
+}
+
+fn processor_time(process: &Process) -> io::Result<Duration> {
+    let tasks = process.tasks().map_err(into_io_error)?;
+    let nanoseconds = tasks.flatten().filter_map(task_nanoseconds).sum();
+    Ok(Duration::from_nanos(nanoseconds))
+}
+
+/// The processor time of one thread; none where it has ended since the threads were listed.
+fn task_nanoseconds(task: Task) -> Option<u64> {
+    let schedule = task.schedstat().ok()?;
+    Some(schedule.sum_exec_runtime)
+}
+
+fn into_io_error(error: ProcError) -> io::Error {
+    let kind = match &error {
+        ProcError::NotFound(_) => io::ErrorKind::NotFound,
+        ProcError::PermissionDenied(_) => io::ErrorKind::PermissionDenied,
+        ProcError::Io(source, _) => source.kind(),
+        _ => io::ErrorKind::Other,
+    };
+    io::Error::new(kind, error)
 }
--- a/lab/src/measure/slope.rs
+++ b/lab/src/measure/slope.rs
@@ -18,20 +18,59 @@
     pub intercept: f64,
     /// The value's growth for each unit of size.
     pub per_unit: f64,
-    /// The part of the variance that the line does not explain, from 0 to 1.
+    /// The part of the variance that the line does not explain, from 0 to 1; 0 where the values do not vary.
     pub unexplained: f64,
     /// The largest distance of a point from the line.
     pub largest_residual: f64,
 }
 
 impl Slope {
-    /// Fits a line; none for fewer than two different sizes.
-    pub fn fit(_points: &[Point]) -> Option<Slope> {
-        todo!()
+    /// Fits a line by ordinary least squares; none for fewer than two different sizes.
+    pub fn fit(points: &[Point]) -> Option<Slope> {
+        let first = points.first()?;
+        if points.iter().all(|point| point.size == first.size) {
+            return None;
+        }
+        let mean_size = mean(points.iter().map(|point| point.size));
+        let mean_value = mean(points.iter().map(|point| point.value));
+        let size_squares: f64 = points.iter().map(|point| (point.size - mean_size).powi(2)).sum();
+        let products: f64 =
+            points.iter().map(|point| (point.size - mean_size) * (point.value - mean_value)).sum();
+        let per_unit = products / size_squares;
+        let line = Slope {
+            intercept: mean_value - per_unit * mean_size,
+            per_unit,
+            unexplained: 0.0,
+            largest_residual: 0.0,
+        };
+        Some(Slope {
+            unexplained: line.unexplained_part(points, mean_value),
+            largest_residual: line.residuals(points).map(f64::abs).fold(0.0, f64::max),
+            ..line
+        })
     }
 
     /// The line's value at a size.
     pub fn at(&self, size: f64) -> f64 {
         self.intercept + self.per_unit * size
     }
+
+    fn residuals(&self, points: &[Point]) -> impl Iterator<Item = f64> {
+        points.iter().map(|point| point.value - self.at(point.size))
+    }
+
+    /// 1 - R².
+    fn unexplained_part(&self, points: &[Point], mean_value: f64) -> f64 {
+        let value_squares: f64 = points.iter().map(|point| (point.value - mean_value).powi(2)).sum();
+        if value_squares == 0.0 {
+            return 0.0;
+        }
+        let residual_squares: f64 = self.residuals(points).map(|residual| residual.powi(2)).sum();
+        (residual_squares / value_squares).clamp(0.0, 1.0)
+    }
+}
+
+fn mean(values: impl ExactSizeIterator<Item = f64>) -> f64 {
+    let count = values.len() as f64;
+    values.sum::<f64>() / count
 }
--- a/lab/src/sidecar/mod.rs
+++ b/lab/src/sidecar/mod.rs
@@ -1,5 +1,6 @@
 //! Sidecars under test: real ones, each a process of the built program, and hollow ones, hundreds in one process.
 
+mod child;
 pub mod configuration;
 pub mod hollow;
 pub mod process;
--- /dev/null
+++ b/lab/tests/common/mod.rs
@@ -0,0 +1,26 @@
+//! What several tests of the lab share.
+#![allow(dead_code)] // each test uses a part of it
+
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::OnceLock;
+
+/// The sidecar program, built if it is missing.
+pub fn sidecar_program() -> &'static Path {
+    static PROGRAM: OnceLock<PathBuf> = OnceLock::new();
+    PROGRAM.get_or_init(|| {
+        let workspace = Path::new(env!("CARGO_MANIFEST_DIR")).parent().expect("the workspace");
+        let program = workspace.join("target/debug/rowanway");
+        if !program.exists() {
+            build_sidecar(workspace);
+        }
+        assert!(program.exists(), "{} was not built", program.display());
+        program
+    })
+}
+
+fn build_sidecar(workspace: &Path) {
+    let arguments = ["build", "--locked", "--package", "passproxy", "--bin", "rowanway"];
+    let status = Command::new(env!("CARGO")).args(arguments).current_dir(workspace).status();
+    assert!(status.expect("cargo runs").success(), "the sidecar could not be built");
+}
--- /dev/null
+++ b/lab/tests/sidecar_process.rs
@@ -0,0 +1,172 @@
+//! Configurations of sidecars, and real sidecars as processes.
+
+mod common;
+
+use passproxy::api::{Discovery, Effect, Reporting};
+use passproxy::wire;
+use pipittray_lab::discovery::{EndpointEntry, EndpointStatus};
+use pipittray_lab::sidecar::configuration::{RequestClass, SidecarConfiguration};
+use pipittray_lab::sidecar::process::SidecarProcess;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::Path;
+use std::thread;
+use std::time::Duration;
+
+/// Far longer than anything here takes.
+const LONG: Duration = Duration::from_secs(20);
+
+fn class(name: &str, is_unsafe: bool) -> RequestClass {
+    RequestClass { name: name.into(), is_unsafe, worth: 1.0, deadline: Duration::from_secs(10) }
+}
+
+fn configuration(discovery: SocketAddr, endpoints: Vec<EndpointEntry>) -> SidecarConfiguration {
+    SidecarConfiguration {
+        name: "n0".into(),
+        zone: "a".into(),
+        zones: vec!["a".into(), "b".into()],
+        number: 1,
+        sidecars: 3,
+        tier: 0,
+        tiers: 2,
+        discovery,
+        lists_are_pushed: false,
+        known: Some((41, endpoints)),
+        classes: vec![class("browse", false), class("order", true)],
+        probes: false,
+        seed: 7,
+        memory_mb: 128,
+        descriptors: 1024,
+    }
+}
+
+fn entry(address: SocketAddr) -> EndpointEntry {
+    EndpointEntry {
+        name: "e0".into(),
+        address,
+        zone: "a".into(),
+        kind: "m".into(),
+        group: 0,
+        status: EndpointStatus::Serving,
+        weight: 1.0,
+        since_ms: 0,
+    }
+}
+
+/// Accepts connections and says nothing on them.
+fn silent_listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a port")
+}
+
+fn address_of(listener: &TcpListener) -> SocketAddr {
+    listener.local_addr().expect("an address")
+}
+
+/// An endpoint that answers each request on one connection after another, until this process ends.
+fn start_endpoint() -> SocketAddr {
+    let listener = silent_listener();
+    let address = address_of(&listener);
+    thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            thread::spawn(move || answer_requests(stream));
+        }
+    });
+    address
+}
+
+fn answer_requests(mut stream: TcpStream) {
+    let reader = BufReader::new(stream.try_clone().expect("a second handle"));
+    for line in reader.lines().map_while(Result::ok) {
+        if line.is_empty() && stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone").is_err() {
+            return;
+        }
+    }
+}
+
+/// The status line of the answer to one request.
+fn ask(sidecar: SocketAddr) -> String {
+    let mut stream = TcpStream::connect(sidecar).expect("the sidecar accepts");
+    stream.set_read_timeout(Some(LONG)).expect("a time-out");
+    let request =
+        "GET /api HTTP/1.1\r\nHost: s\r\nX-Request-Id: 1\r\nX-Class: browse\r\nX-Deadline: 10\r\n\r\n";
+    stream.write_all(request.as_bytes()).expect("the request is written");
+    let mut status = String::new();
+    BufReader::new(stream).read_line(&mut status).expect("a status line");
+    status.trim_end().into()
+}
+
+#[test]
+fn the_decision_module_accepts_the_settings() {
+    let mut configuration = configuration(SocketAddr::from(([127, 0, 0, 1], 1)), Vec::new());
+    let settings = wire::parse_settings(&configuration.settings().to_string()).expect("settings");
+    settings.check().expect("settings that make sense");
+    assert_eq!((settings.balancers, settings.me.0, settings.zones), (3, 1, 2));
+    assert_eq!((settings.tier, settings.tiers), (0, 2));
+    assert_eq!(settings.discovery, Discovery::Asked);
+    assert_eq!(settings.reporting, Reporting::WithAnswers);
+    let classes: Vec<(&str, Effect)> = settings.classes.iter().map(|c| (&*c.name, c.effect)).collect();
+    assert_eq!(classes, [("browse", Effect::Safe), ("order", Effect::Unsafe)]);
+
+    configuration.lists_are_pushed = true;
+    configuration.probes = true;
+    let settings = wire::parse_settings(&configuration.settings().to_string()).expect("settings");
+    assert_eq!(settings.discovery, Discovery::Pushed);
+    assert_eq!(settings.reporting, Reporting::WithProbes);
+    assert!(settings.limits.probes);
+}
+
+#[test]
+fn a_sidecar_starts_serves_and_is_killed() {
+    let discovery = silent_listener();
+    let configuration = configuration(address_of(&discovery), vec![entry(start_endpoint())]);
+    let sidecar = SidecarProcess::start(common::sidecar_program(), &configuration).expect("it starts");
+    assert!(sidecar.wait_until_ready(LONG).is_some(), "{:?}", sidecar.log());
+    assert_ne!(sidecar.address(), sidecar.admin_address());
+
+    assert_eq!(ask(sidecar.address()), "HTTP/1.1 200 OK");
+    assert_eq!(sidecar.figure("completed{lane=\"browse\"}"), Some(1));
+    assert_eq!(sidecar.figure("members"), Some(1));
+    assert_eq!(sidecar.figure("no_such_figure"), None);
+
+    let usage = sidecar.usage().expect("it runs");
+    assert!(usage.processor_time > Duration::ZERO);
+    assert!(usage.anonymous_bytes > 0 && usage.anonymous_bytes <= usage.resident_bytes);
+    assert!(usage.descriptors > 0);
+
+    let address = sidecar.address();
+    sidecar.kill();
+    assert!(TcpStream::connect(address).is_err(), "it still listens");
+}
+
+#[test]
+fn a_sidecar_takes_a_new_configuration_or_tells_why_not() {
+    let discovery = silent_listener();
+    let first = configuration(address_of(&discovery), vec![entry(start_endpoint())]);
+    let sidecar = SidecarProcess::start(common::sidecar_program(), &first).expect("it starts");
+    let mut second = first.clone();
+    second.classes.push(class("search", false));
+    sidecar.reload(&second).expect("it is taken");
+    assert_eq!(sidecar.figure("completed{lane=\"search\"}"), Some(0));
+    sidecar.reload(&first).expect("it is taken");
+    assert_eq!(sidecar.figure("config_reloads"), Some(2));
+
+    let mut without_classes = first;
+    without_classes.classes.clear();
+    let refusal = sidecar.reload(&without_classes).expect_err("no instance can work with it");
+    assert!(refusal.to_string().contains("turned down"), "{refusal}");
+    assert_eq!(sidecar.figure("config_reloads"), Some(2));
+    sidecar.terminate();
+}
+
+#[test]
+fn a_program_that_ends_at_once_is_told_with_its_log() {
+    let configuration = configuration(SocketAddr::from(([127, 0, 0, 1], 1)), Vec::new());
+    let failure = SidecarProcess::start(Path::new("true"), &configuration).err().expect("it ends");
+    assert!(failure.to_string().contains("ended before it listened"), "{failure}");
+
+    let mut without_classes = configuration;
+    without_classes.classes.clear();
+    let started = SidecarProcess::start(common::sidecar_program(), &without_classes);
+    let failure = started.err().expect("settings without a class are turned down");
+    assert!(failure.to_string().contains("classes"), "{failure}");
+}
