--- a/lab/src/scenario/held.rs
+++ b/lab/src/scenario/held.rs
@@ -61,7 +61,7 @@
         let deadline = self.deadline.as_secs_f64();
         let length = if method == "POST" { "Content-Length: 0\r\n" } else { "" };
         format!(
-            "{method} /api HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: held-{class}-{number}\r\n\
+            "{method} /api HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: {number:016x}\r\n\
              X-Class: {class}\r\nX-Deadline: {deadline:.3}\r\n{length}\r\n"
         )
     }
