Load targets with open-loop callers that wait with nanosecond time-outs

Need: the lab measures latencies below a millisecond, from the moment at which each request was due.

Change: `caller::run` draws Poisson arrivals for each target from the seed, merges them and sends each when it is due on the idle connection that was used last, or on a new one.

--- /dev/null
+++ b/lab/src/caller/connection.rs
@@ -0,0 +1,147 @@
+//! One non-blocking connection, which carries one request at a time.
+
+use super::response::{Answer, ResponseError, ResponseParser};
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::{AsFd, BorrowedFd};
+
+/// Why a connection cannot be used any longer.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum ConnectionError {
+    #[error("it never came up: {0}")]
+    NotConnected(io::Error),
+    #[error("it ended before an answer's first byte")]
+    ClosedBeforeAnswer,
+    #[error("it ended within an answer")]
+    ClosedWithinAnswer,
+    #[error("the answer cannot be read: {0}")]
+    Unreadable(#[from] ResponseError),
+}
+
+/// A connection to a target.
+pub(super) struct Connection {
+    stream: TcpStream,
+    is_connecting: bool,
+    /// What of the request was not written yet.
+    outgoing: Vec<u8>,
+    parser: ResponseParser,
+    /// Whether it has carried an answer before.
+    is_kept: bool,
+}
+
+impl Connection {
+    /// Begins to connect.
+    ///
+    /// # Errors
+    /// There is no socket to be had, or the address cannot be reached.
+    pub fn open(address: SocketAddr) -> io::Result<Self> {
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+        socket.set_nonblocking(true)?;
+        socket.set_tcp_nodelay(true)?;
+        let is_connecting = match socket.connect(&address.into()) {
+            Ok(()) => false,
+            Err(error) if is_in_progress(&error) => true,
+            Err(error) => return Err(error),
+        };
+        Ok(Connection {
+            stream: socket.into(),
+            is_connecting,
+            outgoing: Vec::new(),
+            parser: ResponseParser::default(),
+            is_kept: false,
+        })
+    }
+
+    /// Whether it has carried an answer before, so that the other side may have closed it as idle.
+    pub fn is_kept(&self) -> bool {
+        self.is_kept
+    }
+
+    /// Sends a request, at once or when the connection is up.
+    pub fn send(&mut self, request: Vec<u8>) -> Result<(), ConnectionError> {
+        self.outgoing = request;
+        if self.is_connecting { Ok(()) } else { self.write() }
+    }
+
+    /// Does what the socket is ready for; the answer where its last byte has come. `has_hung_up` tells that the other
+    /// side's end is there to be read.
+    pub fn advance(
+        &mut self,
+        buffer: &mut [u8],
+        has_hung_up: bool,
+    ) -> Result<Option<Answer>, ConnectionError> {
+        self.finish_connecting()?;
+        self.write()?;
+        let answer = self.read(buffer, has_hung_up)?;
+        self.is_kept |= answer.is_some();
+        Ok(answer)
+    }
+
+    fn finish_connecting(&mut self) -> Result<(), ConnectionError> {
+        if self.is_connecting {
+            let error = self.stream.take_error().unwrap_or_else(Some);
+            error.map_or(Ok(()), |error| Err(ConnectionError::NotConnected(error)))?;
+            self.is_connecting = false;
+        }
+        Ok(())
+    }
+
+    fn write(&mut self) -> Result<(), ConnectionError> {
+        while !self.outgoing.is_empty() {
+            match self.stream.write(&self.outgoing) {
+                Ok(written) => drop(self.outgoing.drain(..written)),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return Err(self.closed()),
+            }
+        }
+        Ok(())
+    }
+
+    /// Reads until nothing is left. A read that does not fill the buffer was the last, unless the end is there too: the
+    /// poller tells of more bytes, and of an end that comes later.
+    fn read(&mut self, buffer: &mut [u8], has_hung_up: bool) -> Result<Option<Answer>, ConnectionError> {
+        let mut answer = None;
+        loop {
+            match self.stream.read(buffer) {
+                Ok(0) => return ended(answer).ok_or_else(|| self.closed()),
+                Ok(length) => {
+                    if answer.is_some() {
+                        return Err(ResponseError::ExcessBytes.into());
+                    }
+                    answer = self.parser.feed(&buffer[..length])?;
+                    if length < buffer.len() && !has_hung_up {
+                        return Ok(answer);
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(answer),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(_) => return ended(answer).ok_or_else(|| self.closed()),
+            }
+        }
+    }
+
+    fn closed(&self) -> ConnectionError {
+        if self.parser.has_begun() {
+            ConnectionError::ClosedWithinAnswer
+        } else {
+            ConnectionError::ClosedBeforeAnswer
+        }
+    }
+}
+
+impl AsFd for Connection {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.stream.as_fd()
+    }
+}
+
+/// An answer after which the connection has ended.
+fn ended(answer: Option<Answer>) -> Option<Option<Answer>> {
+    answer.map(|answer| Some(Answer { keeps_connection: false, ..answer }))
+}
+
+fn is_in_progress(error: &io::Error) -> bool {
+    error.raw_os_error() == Some(rustix::io::Errno::INPROGRESS.raw_os_error())
+}
--- /dev/null
+++ b/lab/src/caller/connection_table.rs
@@ -0,0 +1,121 @@
+//! All connections of a load, by token, and which of them are idle.
+
+use super::connection::Connection;
+use std::time::Duration;
+
+/// Names a connection. A later connection in the same place has another token, so that what was meant for the earlier
+/// one does not reach it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Token {
+    place: u32,
+    generation: u32,
+}
+
+impl Token {
+    /// As one number, for the poller.
+    pub fn to_u64(self) -> u64 {
+        u64::from(self.generation) << u32::BITS | u64::from(self.place)
+    }
+
+    /// From the number that [`Token::to_u64`] gave.
+    pub fn from_u64(number: u64) -> Self {
+        Token { place: number as u32, generation: (number >> u32::BITS) as u32 }
+    }
+}
+
+/// A request that waits for its answer.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Exchange {
+    /// The request's number within the run.
+    pub number: u64,
+    /// The place of its target in the plan.
+    pub target: usize,
+    /// When it was due, since the start of the load.
+    pub due: Duration,
+    /// Whether it was due within the measurement.
+    pub is_measured: bool,
+    /// Whether it was sent once more, as a kept connection had been closed.
+    pub is_repeated: bool,
+}
+
+/// A connection and what it carries.
+pub(super) struct OpenConnection {
+    pub connection: Connection,
+    pub target: usize,
+    /// The request under way; none while the connection is idle.
+    pub exchange: Option<Exchange>,
+}
+
+struct Place {
+    generation: u32,
+    open: Option<OpenConnection>,
+}
+
+/// The open connections of a load.
+pub(super) struct ConnectionTable {
+    places: Vec<Place>,
+    free: Vec<u32>,
+    /// By target, the most recently used last.
+    idle: Vec<Vec<Token>>,
+}
+
+impl ConnectionTable {
+    /// An empty table for so many targets.
+    pub fn new(targets: usize) -> Self {
+        ConnectionTable { places: Vec::new(), free: Vec::new(), idle: vec![Vec::new(); targets] }
+    }
+
+    /// Adds a new connection, which is not idle.
+    pub fn insert(&mut self, connection: Connection, target: usize) -> Token {
+        let place = self.free.pop().unwrap_or_else(|| {
+            self.places.push(Place { generation: 0, open: None });
+            (self.places.len() - 1) as u32
+        });
+        let held = &mut self.places[place as usize];
+        held.open = Some(OpenConnection { connection, target, exchange: None });
+        Token { place, generation: held.generation }
+    }
+
+    pub fn get_mut(&mut self, token: Token) -> Option<&mut OpenConnection> {
+        self.place_mut(token)?.open.as_mut()
+    }
+
+    /// Whether a connection still carries the request with this number.
+    pub fn carries(&self, token: Token, number: u64) -> bool {
+        let place = self.places.get(token.place as usize);
+        let open = place.filter(|place| place.generation == token.generation).and_then(|p| p.open.as_ref());
+        let exchange = open.and_then(|open| open.exchange);
+        exchange.is_some_and(|exchange| exchange.number == number)
+    }
+
+    /// Takes a connection out, so that it closes when it is dropped.
+    pub fn remove(&mut self, token: Token) -> Option<OpenConnection> {
+        let place = self.place_mut(token)?;
+        let open = place.open.take()?;
+        place.generation = place.generation.wrapping_add(1);
+        self.free.push(token.place);
+        if open.exchange.is_none() {
+            self.idle[open.target].retain(|idle| *idle != token);
+        }
+        Some(open)
+    }
+
+    /// Ends the request of a connection, which is idle from now on.
+    pub fn rest(&mut self, token: Token) {
+        if let Some(open) = self.get_mut(token) {
+            open.exchange = None;
+            let target = open.target;
+            self.idle[target].push(token);
+        }
+    }
+
+    /// Takes the most recently used idle connection to a target.
+    pub fn take_idle(&mut self, target: usize) -> Option<Token> {
+        self.idle[target].pop()
+    }
+
+    fn place_mut(&mut self, token: Token) -> Option<&mut Place> {
+        let place = self.places.get_mut(token.place as usize)?;
+        (place.generation == token.generation).then_some(place)
+    }
+}
--- /dev/null
+++ b/lab/src/caller/event_loop.rs
@@ -0,0 +1,235 @@
+//! The event loop: sends what is due, takes in answers, gives up what is overdue.
+
+use super::connection::{Connection, ConnectionError};
+use super::connection_table::{ConnectionTable, Exchange, Token};
+use super::poller::{Poller, Readiness};
+use super::request::{RequestIds, RequestTemplate};
+use super::response::Answer;
+use super::schedule::{Arrival, Schedule};
+use super::{LoadPlan, TargetResult};
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::io;
+use std::time::{Duration, Instant};
+
+/// A request is given up so long after its deadline.
+const GRACE: Duration = Duration::from_millis(500);
+/// Bytes that are read at once.
+const READ_BUFFER_BYTES: usize = 64 * 1024;
+
+/// What a request came to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Outcome {
+    Served,
+    Refused,
+    Failed,
+    Unanswered,
+}
+
+/// When a request is given up, and which connection carries it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Expiry {
+    at: Duration,
+    token: Token,
+    number: u64,
+}
+
+/// A load while it runs. Times count from its start.
+pub(super) struct EventLoop<'a> {
+    plan: &'a LoadPlan,
+    started: Instant,
+    schedule: Schedule,
+    poller: Poller,
+    table: ConnectionTable,
+    /// The earliest first; entries of requests that have ended stay until they come up.
+    expiries: BinaryHeap<Reverse<Expiry>>,
+    ids: RequestIds,
+    templates: Vec<RequestTemplate>,
+    requests: u64,
+    measured_in_flight: usize,
+    results: Vec<TargetResult>,
+    buffer: Box<[u8]>,
+}
+
+impl<'a> EventLoop<'a> {
+    pub fn new(plan: &'a LoadPlan) -> io::Result<Self> {
+        let rates = plan.targets.iter().map(|target| target.calls_per_second);
+        Ok(EventLoop {
+            plan,
+            started: Instant::now(),
+            schedule: Schedule::new(rates, plan.warm_up + plan.duration, plan.seed),
+            poller: Poller::new()?,
+            table: ConnectionTable::new(plan.targets.len()),
+            expiries: BinaryHeap::new(),
+            ids: RequestIds::new(plan.seed),
+            templates: plan.targets.iter().map(RequestTemplate::new).collect(),
+            requests: 0,
+            measured_in_flight: 0,
+            results: plan.targets.iter().map(|_| TargetResult::new()).collect(),
+            buffer: vec![0; READ_BUFFER_BYTES].into(),
+        })
+    }
+
+    /// Runs until the last request was due and all that are measured have ended.
+    pub fn run(mut self) -> io::Result<Vec<TargetResult>> {
+        let mut ready = Vec::new();
+        self.started = Instant::now();
+        loop {
+            self.send_due();
+            self.give_up_overdue();
+            if self.schedule.next_due().is_none() && self.measured_in_flight == 0 {
+                return Ok(self.results);
+            }
+            let longest = self.next_wake().saturating_sub(self.now());
+            self.poller.wait(longest, &mut ready)?;
+            for readiness in &ready {
+                self.advance(*readiness);
+                self.send_due(); // many answers at once delay no request
+            }
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// When the next request is due or overdue.
+    fn next_wake(&mut self) -> Duration {
+        let table = &self.table;
+        while self.expiries.peek().is_some_and(|Reverse(e)| !table.carries(e.token, e.number)) {
+            self.expiries.pop();
+        }
+        let expiry = self.expiries.peek().map(|Reverse(expiry)| expiry.at);
+        let due = self.schedule.next_due();
+        due.into_iter().chain(expiry).min().unwrap_or(Duration::MAX)
+    }
+
+    fn send_due(&mut self) {
+        loop {
+            let now = self.now();
+            let Some(arrival) = self.schedule.take_due(now) else { return };
+            self.begin(arrival, now);
+        }
+    }
+
+    fn begin(&mut self, arrival: Arrival, now: Duration) {
+        let is_measured = arrival.due >= self.plan.warm_up;
+        if is_measured {
+            let result = &mut self.results[arrival.target];
+            result.sent += 1;
+            result.longest_delay = result.longest_delay.max(now - arrival.due);
+            self.measured_in_flight += 1;
+        }
+        self.requests += 1;
+        let exchange = Exchange {
+            number: self.requests,
+            target: arrival.target,
+            due: arrival.due,
+            is_measured,
+            is_repeated: false,
+        };
+        match self.table.take_idle(arrival.target) {
+            Some(token) => self.send(token, exchange),
+            None => self.send_on_new_connection(exchange),
+        }
+    }
+
+    fn send_on_new_connection(&mut self, exchange: Exchange) {
+        match self.open(exchange.target) {
+            Ok(token) => self.send(token, exchange),
+            Err(_) => self.end(exchange, Outcome::Failed),
+        }
+    }
+
+    fn open(&mut self, target: usize) -> io::Result<Token> {
+        let connection = Connection::open(self.plan.targets[target].address)?;
+        self.results[target].connections += 1;
+        let token = self.table.insert(connection, target);
+        let Some(open) = self.table.get_mut(token) else { return Ok(token) };
+        if let Err(error) = self.poller.watch(&open.connection, token) {
+            self.table.remove(token);
+            return Err(error);
+        }
+        Ok(token)
+    }
+
+    fn send(&mut self, token: Token, exchange: Exchange) {
+        let Some(open) = self.table.get_mut(token) else { return };
+        open.exchange = Some(exchange);
+        let id = self.ids.id(exchange.number);
+        let request = self.templates[exchange.target].render(&id);
+        let sent = open.connection.send(request);
+        let at = exchange.due + self.plan.targets[exchange.target].deadline + GRACE;
+        self.expiries.push(Reverse(Expiry { at, token, number: exchange.number }));
+        if let Err(error) = sent {
+            self.lose_connection(token, &error);
+        }
+    }
+
+    fn advance(&mut self, readiness: Readiness) {
+        let token = readiness.token;
+        let Some(open) = self.table.get_mut(token) else { return };
+        match open.connection.advance(&mut self.buffer, readiness.has_hung_up) {
+            Ok(None) => {}
+            Ok(Some(answer)) => self.take_answer(token, answer),
+            Err(error) => self.lose_connection(token, &error),
+        }
+    }
+
+    fn take_answer(&mut self, token: Token, answer: Answer) {
+        let exchange = self.table.get_mut(token).and_then(|open| open.exchange);
+        if exchange.is_some() && answer.keeps_connection {
+            self.table.rest(token);
+        } else {
+            self.table.remove(token); // also after an answer to nothing
+        }
+        let Some(exchange) = exchange else { return };
+        let outcome = match answer.status {
+            200 => Outcome::Served,
+            429 | 503 => Outcome::Refused,
+            _ => Outcome::Failed,
+        };
+        self.end(exchange, outcome);
+    }
+
+    /// A request on a kept connection that was closed before the answer's first byte is sent once more.
+    fn lose_connection(&mut self, token: Token, error: &ConnectionError) {
+        let Some(lost) = self.table.remove(token) else { return };
+        let Some(exchange) = lost.exchange else { return };
+        let crossed = matches!(error, ConnectionError::ClosedBeforeAnswer) && lost.connection.is_kept();
+        if crossed && !exchange.is_repeated {
+            self.send_on_new_connection(Exchange { is_repeated: true, ..exchange });
+        } else {
+            self.end(exchange, Outcome::Failed);
+        }
+    }
+
+    fn give_up_overdue(&mut self) {
+        let now = self.now();
+        while let Some(Reverse(expiry)) = self.expiries.peek().copied().filter(|Reverse(e)| e.at <= now) {
+            self.expiries.pop();
+            if !self.table.carries(expiry.token, expiry.number) {
+                continue;
+            }
+            let given_up = self.table.remove(expiry.token);
+            if let Some(exchange) = given_up.and_then(|open| open.exchange) {
+                self.end(exchange, Outcome::Unanswered);
+            }
+        }
+    }
+
+    fn end(&mut self, exchange: Exchange, outcome: Outcome) {
+        if !exchange.is_measured {
+            return;
+        }
+        self.measured_in_flight -= 1;
+        let latency = self.now().saturating_sub(exchange.due);
+        let result = &mut self.results[exchange.target];
+        match outcome {
+            Outcome::Served => result.record_served(latency),
+            Outcome::Refused => result.refused += 1,
+            Outcome::Failed => result.failed += 1,
+            Outcome::Unanswered => result.unanswered += 1,
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/caller/poller.rs
@@ -0,0 +1,92 @@
+//! Readiness of sockets, and waits with a time-out in nanoseconds.
+//!
+//! The time-out of `epoll_wait` is in milliseconds, which would send requests late. A timer descriptor beside the
+//! sockets ends a wait in time.
+
+use super::connection_table::Token;
+use rustix::buffer::spare_capacity;
+use rustix::event::epoll;
+use rustix::fd::{AsFd, OwnedFd};
+use rustix::io::Errno;
+use rustix::time::{
+    Itimerspec, TimerfdClockId, TimerfdFlags, TimerfdTimerFlags, Timespec, timerfd_create, timerfd_settime,
+};
+use std::io;
+use std::time::Duration;
+
+/// Sockets that one wait tells of at most.
+const MOST_EVENTS: usize = 256;
+/// The number that stands for the timer in place of a token.
+const TIMER: u64 = u64::MAX;
+/// A time of zero would stop the timer.
+const SHORTEST_WAIT: Duration = Duration::from_nanos(1);
+/// Longer waits end early.
+const LONGEST_WAIT: Duration = Duration::from_secs(3600);
+const ZERO: Timespec = Timespec { tv_sec: 0, tv_nsec: 0 };
+
+/// A socket with something to do.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Readiness {
+    pub token: Token,
+    /// Whether the other side's end, or an error, is there to be read.
+    pub has_hung_up: bool,
+}
+
+/// An epoll instance with a timer.
+pub(super) struct Poller {
+    epoll: OwnedFd,
+    timer: OwnedFd,
+    events: Vec<epoll::Event>,
+}
+
+impl Poller {
+    pub fn new() -> io::Result<Self> {
+        let epoll = epoll::create(epoll::CreateFlags::CLOEXEC)?;
+        let timer =
+            timerfd_create(TimerfdClockId::Monotonic, TimerfdFlags::CLOEXEC | TimerfdFlags::NONBLOCK)?;
+        // Edge-triggered, the timer need not be read: setting it again clears it.
+        let interest = epoll::EventFlags::IN | epoll::EventFlags::ET;
+        epoll::add(&epoll, &timer, epoll::EventData::new_u64(TIMER), interest)?;
+        Ok(Poller { epoll, timer, events: Vec::with_capacity(MOST_EVENTS) })
+    }
+
+    /// Watches a socket until it is closed; each change of its state is told once.
+    pub fn watch(&self, socket: impl AsFd, token: Token) -> io::Result<()> {
+        use epoll::EventFlags as Flags;
+        let interest = Flags::IN | Flags::OUT | Flags::RDHUP | Flags::ET;
+        epoll::add(&self.epoll, socket, epoll::EventData::new_u64(token.to_u64()), interest)?;
+        Ok(())
+    }
+
+    /// Waits for `longest` at most until something is ready, and replaces `ready` by it.
+    pub fn wait(&mut self, longest: Duration, ready: &mut Vec<Readiness>) -> io::Result<()> {
+        ready.clear();
+        self.events.clear();
+        let timeout = if longest.is_zero() { Some(&ZERO) } else { None };
+        if !longest.is_zero() {
+            self.set_timer(longest)?;
+        }
+        match epoll::wait(&self.epoll, spare_capacity(&mut self.events), timeout) {
+            Ok(_) | Err(Errno::INTR) => {}
+            Err(error) => return Err(error.into()),
+        }
+        let sockets = self.events.iter().filter(|event| event.data.u64() != TIMER);
+        ready.extend(sockets.map(readiness));
+        Ok(())
+    }
+
+    fn set_timer(&self, after: Duration) -> io::Result<()> {
+        let after = after.clamp(SHORTEST_WAIT, LONGEST_WAIT);
+        let it_value = Timespec { tv_sec: after.as_secs() as _, tv_nsec: after.subsec_nanos().into() };
+        let once = Itimerspec { it_interval: ZERO, it_value };
+        timerfd_settime(&self.timer, TimerfdTimerFlags::empty(), &once)?;
+        Ok(())
+    }
+}
+
+fn readiness(event: &epoll::Event) -> Readiness {
+    use epoll::EventFlags as Flags;
+    let (flags, data) = (event.flags, event.data);
+    let has_hung_up = flags.intersects(Flags::RDHUP | Flags::HUP | Flags::ERR);
+    Readiness { token: Token::from_u64(data.u64()), has_hung_up }
+}
--- /dev/null
+++ b/lab/src/caller/request.rs
@@ -0,0 +1,59 @@
+//! Requests in the form of the protocol page.
+
+use super::LoadTarget;
+use std::sync::atomic::{AtomicU32, Ordering};
+
+/// Bytes of the body of a request that is unsafe to repeat.
+const BODY_BYTES: usize = 32;
+
+/// Loads that this process has run.
+static RUNS: AtomicU32 = AtomicU32::new(0);
+
+/// Where request ids come from: each is there once, also over the runs of a process with one seed.
+pub(super) struct RequestIds {
+    seed: u64,
+    run: u32,
+}
+
+impl RequestIds {
+    pub fn new(seed: u64) -> Self {
+        RequestIds { seed, run: RUNS.fetch_add(1, Ordering::Relaxed) }
+    }
+
+    /// The id of a request by its number within the run.
+    pub fn id(&self, number: u64) -> String {
+        format!("{:016x}{:08x}{number:016x}", self.seed, self.run)
+    }
+}
+
+/// A target's requests, which differ in their ids alone.
+pub(super) struct RequestTemplate {
+    before_id: String,
+    after_id: String,
+}
+
+impl RequestTemplate {
+    pub fn new(target: &LoadTarget) -> Self {
+        let method = if target.is_unsafe { "POST" } else { "GET" };
+        let host = target.address;
+        let class = &target.class;
+        let deadline = target.deadline.as_secs_f64();
+        RequestTemplate {
+            before_id: format!("{method} /api HTTP/1.1\r\nHost: {host}\r\nX-Request-Id: "),
+            after_id: format!("\r\nX-Class: {class}\r\nX-Deadline: {deadline:.6}\r\n{}", rest(target)),
+        }
+    }
+
+    pub fn render(&self, id: &str) -> Vec<u8> {
+        [&self.before_id, id, &self.after_id].concat().into_bytes()
+    }
+}
+
+/// The end of the head, and the body.
+fn rest(target: &LoadTarget) -> String {
+    if target.is_unsafe {
+        format!("Content-Length: {BODY_BYTES}\r\n\r\n{}", "x".repeat(BODY_BYTES))
+    } else {
+        "\r\n".into()
+    }
+}
--- /dev/null
+++ b/lab/src/caller/schedule.rs
@@ -0,0 +1,82 @@
+//! Arrival times: a Poisson process for each target, merged into one order.
+
+use rand::SeedableRng;
+use rand_distr::{Distribution, Exp};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+/// A request that is due.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Arrival {
+    /// When, since the start of the load.
+    pub due: Duration,
+    /// The place of its target in the plan.
+    pub target: usize,
+}
+
+/// The arrivals at all targets up to the end of the load. They depend on the rates and the seed alone, and not on how
+/// the targets answer.
+pub(super) struct Schedule {
+    sources: Vec<Option<Source>>,
+    /// The next arrival at each target.
+    next: BinaryHeap<Reverse<(Duration, usize)>>,
+    end: Duration,
+}
+
+impl Schedule {
+    /// Arrivals at so many targets as there are rates, in calls a second. A rate of zero has none.
+    pub fn new(rates: impl IntoIterator<Item = f64>, end: Duration, seed: u64) -> Self {
+        let mut seeds = Pcg64Mcg::seed_from_u64(seed);
+        let sources =
+            rates.into_iter().map(|rate| Source::new(rate, Pcg64Mcg::from_rng(&mut seeds))).collect();
+        let mut schedule = Schedule { sources, next: BinaryHeap::new(), end };
+        for target in 0..schedule.sources.len() {
+            schedule.draw(target, Duration::ZERO);
+        }
+        schedule
+    }
+
+    /// When the next request is due; none after the last.
+    pub fn next_due(&self) -> Option<Duration> {
+        self.next.peek().map(|Reverse((due, _))| *due)
+    }
+
+    /// Takes the next request if it is due.
+    pub fn take_due(&mut self, now: Duration) -> Option<Arrival> {
+        if self.next_due()? > now {
+            return None;
+        }
+        let Reverse((due, target)) = self.next.pop()?;
+        self.draw(target, due);
+        Some(Arrival { due, target })
+    }
+
+    /// Draws the arrival that follows one at this time.
+    fn draw(&mut self, target: usize, previous: Duration) {
+        let Some(source) = &mut self.sources[target] else { return };
+        let due = previous.saturating_add(source.gap());
+        if due < self.end {
+            self.next.push(Reverse((due, target)));
+        }
+    }
+}
+
+/// The arrivals at one target.
+struct Source {
+    gaps: Exp<f64>,
+    random: Pcg64Mcg,
+}
+
+impl Source {
+    fn new(rate: f64, random: Pcg64Mcg) -> Option<Self> {
+        let gaps = Exp::new(rate).ok().filter(|_| rate > 0.0)?;
+        Some(Source { gaps, random })
+    }
+
+    fn gap(&mut self) -> Duration {
+        let seconds = self.gaps.sample(&mut self.random);
+        Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+    }
+}
