Generate the lab's topologies, and choose what the faults of the plan hit in them

Need: the failures of the operators' plan are to be run against a fleet that stands in regions, zones and racks, and with services of uneven sizes. Change: Topology::generate deals endpoints over services (log-normal sizes, one at least each), evenly over zones with regions alternating, and over the racks of each zone. Fault::impact chooses by seed the machines, rack, zone or region that a fault hits, and names the zones that discovery no longer reaches.

--- a/lab/src/fault.rs
+++ b/lab/src/fault.rs
@@ -1,8 +1,12 @@
 //! Faults of the operators' plan: machines, racks and zones that are lost and come back, restarts in waves, regions
 //! that are cut from each other.
 
-use crate::topology::{EndpointName, RackName, RegionName, Topology, ZoneName};
+use crate::topology::{EndpointName, Placement, RackName, RegionName, Topology, ZoneName};
+use rand::SeedableRng;
+use rand::seq::{IndexedRandom, IteratorRandom};
+use rand_pcg::Pcg64;
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 
 /// What fails.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -44,8 +48,58 @@
 }
 
 impl Fault {
-    /// What it hits; the seed chooses which machines, rack, zone or region.
-    pub fn impact(&self, _topology: &Topology, _seed: u64) -> Impact {
-        todo!()
+    /// What it hits; the seed chooses which machines, rack, zone or region. Machines that are restarted come in the
+    /// order of their restarts. No more is hit than there is.
+    pub fn impact(&self, topology: &Topology, seed: u64) -> Impact {
+        let mut random = Pcg64::seed_from_u64(seed);
+        match self {
+            Fault::Machines { count } | Fault::Restarts { count, .. } => {
+                machines_impact(topology, *count, &mut random)
+            }
+            Fault::Rack => rack_impact(topology, &mut random),
+            Fault::Zone => zone_impact(topology, &mut random),
+            Fault::RegionCut => region_impact(topology, &mut random),
+            Fault::DiscoveryOutage => Impact::default(),
+        }
     }
 }
+
+fn machines_impact(topology: &Topology, count: u32, random: &mut Pcg64) -> Impact {
+    let hit = topology.placements.sample(random, count as usize);
+    Impact { endpoints: hit.map(|placement| placement.endpoint.clone()).collect(), ..Impact::default() }
+}
+
+fn rack_impact(topology: &Topology, random: &mut Pcg64) -> Impact {
+    let Some(rack) = choose(topology.placements.iter().map(|placement| &placement.rack), random) else {
+        return Impact::default();
+    };
+    let endpoints = endpoints_where(topology, |placement| placement.rack == rack);
+    Impact { endpoints, rack: Some(rack), ..Impact::default() }
+}
+
+fn zone_impact(topology: &Topology, random: &mut Pcg64) -> Impact {
+    let Some(zone) = choose(topology.zones.iter(), random) else { return Impact::default() };
+    let endpoints = endpoints_where(topology, |placement| placement.zone == zone);
+    Impact { endpoints, silent_zones: vec![zone], ..Impact::default() }
+}
+
+fn region_impact(topology: &Topology, random: &mut Pcg64) -> Impact {
+    let Some(region) = choose(topology.placements.iter().map(|placement| &placement.region), random) else {
+        return Impact::default();
+    };
+    let in_region = topology.placements.iter().filter(|placement| placement.region == region);
+    let zones: BTreeSet<&ZoneName> = in_region.map(|placement| &placement.zone).collect();
+    let silent_zones = zones.into_iter().cloned().collect();
+    Impact { silent_zones, region: Some(region), ..Impact::default() }
+}
+
+/// One of these, each with the same chance however often it occurs.
+fn choose<'a, T: Clone + Ord + 'a>(from: impl Iterator<Item = &'a T>, random: &mut Pcg64) -> Option<T> {
+    let distinct: BTreeSet<&T> = from.collect();
+    distinct.into_iter().choose(random).cloned()
+}
+
+fn endpoints_where(topology: &Topology, is_hit: impl Fn(&Placement) -> bool) -> Vec<EndpointName> {
+    let hit = topology.placements.iter().filter(|placement| is_hit(placement));
+    hit.map(|placement| placement.endpoint.clone()).collect()
+}
--- a/lab/src/topology.rs
+++ b/lab/src/topology.rs
@@ -1,9 +1,17 @@
 //! Where everything stands: regions, zones, racks and machines, and the services whose endpoints run on them.
 
+use rand::SeedableRng;
+use rand::distr::Distribution;
+use rand_distr::LogNormal;
+use rand_pcg::Pcg64;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::Arc;
 
+/// Standard deviation of the logarithm of a service's size: the largest of 62 services then has about ten times the
+/// endpoints of the median one.
+const SERVICE_SIZE_SIGMA: f64 = 1.0;
+
 /// A shared name; cheap to copy.
 macro_rules! name {
     ($(#[$documentation:meta])* $name:ident) => {
@@ -101,3 +109,90 @@
     /// One entry for each endpoint.
     pub placements: Vec<Placement>,
 }
+
+/// A zone while endpoints are dealt out.
+struct ZonePlace {
+    name: ZoneName,
+    region: RegionName,
+    racks: Vec<RackName>,
+}
+
+impl Topology {
+    /// Deals endpoints over services of uneven sizes (each has one at least, as far as there are enough) and the
+    /// endpoints of each service evenly over zones, regions alternating, and racks. Endpoints are numbered service by
+    /// service. The same size and seed give the same topology; a size with a zero in it gives no placements.
+    pub fn generate(size: &TopologySize, seed: u64) -> Topology {
+        let places = zone_places(size);
+        let zones = places.iter().map(|place| place.name.clone()).collect();
+        let dealing_order = alternate_regions(&places, size);
+        let sizes = service_sizes(size, &mut Pcg64::seed_from_u64(seed));
+        let services = sizes
+            .iter()
+            .enumerate()
+            .flat_map(|(index, &endpoints)| (0..endpoints).map(move |_| numbered("service", index, 2)));
+        let placements = services
+            .enumerate()
+            .filter_map(|(index, service)| {
+                let place = dealing_order.get(index % dealing_order.len().max(1))?;
+                let turn = index / dealing_order.len();
+                let rack = place.racks.get(turn % place.racks.len().max(1))?;
+                Some(Placement {
+                    endpoint: numbered("endpoint", index, 4).into(),
+                    service: service.into(),
+                    rack: rack.clone(),
+                    zone: place.name.clone(),
+                    region: place.region.clone(),
+                })
+            })
+            .collect();
+        Topology { zones, placements }
+    }
+}
+
+/// A name such as `service-07`, counted from 1.
+fn numbered(kind: &str, index: usize, digits: usize) -> String {
+    format!("{kind}-{:0digits$}", index + 1)
+}
+
+/// All zones with their racks, region by region.
+fn zone_places(size: &TopologySize) -> Vec<ZonePlace> {
+    let mut places = Vec::new();
+    for region in 1..=size.regions {
+        for zone in 1..=size.zones_per_region {
+            let racks =
+                (1..=size.racks_per_zone).map(|rack| format!("r{region}-z{zone}-k{rack}").into()).collect();
+            places.push(ZonePlace {
+                name: format!("r{region}-z{zone}").into(),
+                region: format!("r{region}").into(),
+                racks,
+            });
+        }
+    }
+    places
+}
+
+/// The first zone of each region, then the second of each, so that a small service stands in several regions.
+fn alternate_regions<'a>(places: &'a [ZonePlace], size: &TopologySize) -> Vec<&'a ZonePlace> {
+    let zones_per_region = size.zones_per_region as usize;
+    (0..zones_per_region).flat_map(|zone| places.iter().skip(zone).step_by(zones_per_region)).collect()
+}
+
+/// How many endpoints each service has: one, and a part of the rest that is log-normally distributed.
+fn service_sizes(size: &TopologySize, random: &mut Pcg64) -> Vec<u32> {
+    let services = size.services.min(size.endpoints);
+    let to_share = size.endpoints - services;
+    let distribution = LogNormal::new(0.0, SERVICE_SIZE_SIGMA).expect("the deviation is finite");
+    let weights: Vec<f64> = (0..services).map(|_| distribution.sample(random)).collect();
+    let total: f64 = weights.iter().sum();
+    // Rounding the running sum and not each part makes the parts add up.
+    let mut running = 0.0;
+    let mut shared = 0;
+    let mut sizes = Vec::with_capacity(weights.len());
+    for weight in weights {
+        running += weight;
+        let shared_by_now = ((running / total) * f64::from(to_share)).round() as u32;
+        sizes.push(1 + shared_by_now - shared);
+        shared = shared_by_now;
+    }
+    sizes
+}
