Stand in for discovery: lists, watches, a limited rate, outages and silences

Need: what a fleet of sidecars costs discovery, and what it does when discovery is down, slow or cut off, is to be measured on real sockets. Ends that are not in order are resets.

--- /dev/null
+++ b/lab/src/discovery/protocol.rs
@@ -0,0 +1,157 @@
+//! The protocol's text: requests as they are read, and answers and chunks as they are written.
+
+use super::EndpointEntry;
+use bytes::{Buf, Bytes, BytesMut};
+use hyper::Uri;
+use serde::Serialize;
+
+/// The longest head of a request, in bytes; a longer one is a bad request.
+const LONGEST_REQUEST_HEAD: usize = 16 << 10;
+/// The most headers of a request.
+const MOST_REQUEST_HEADERS: usize = 64;
+
+/// The empty line that a watch gets while nothing changes, as a chunk.
+pub(super) const HEARTBEAT: &[u8] = b"1\r\n\n\r\n";
+/// The head of a watch's answer.
+pub(super) const WATCH_HEAD: &[u8] =
+    b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
+/// The answer to a call that has waited too long.
+pub(super) const UNAVAILABLE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+/// The answer to a request for anything but the list.
+pub(super) const NOT_FOUND: &[u8] = b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n";
+/// The answer to a request that is not understood, after which the connection is closed.
+pub(super) const BAD_REQUEST: &[u8] =
+    b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Call {
+    /// The whole list.
+    List,
+    /// A watch.
+    Watch {
+        /// The version that the caller has, if it told one.
+        since: Option<u64>,
+    },
+    /// Something that is not here.
+    NotFound,
+}
+
+/// A request that was read whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Request {
+    /// What it asks for.
+    pub(super) call: Call,
+    /// Whether the connection ends with the answer.
+    pub(super) closes: bool,
+}
+
+/// A request that is not understood.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum BadRequest {
+    /// It is not HTTP.
+    #[error("not HTTP/1.1: {0}")]
+    Http(#[from] httparse::Error),
+    /// It has another version, method or query than discovery takes, or a body.
+    #[error("{0}")]
+    Unsupported(&'static str),
+}
+
+/// Takes the next request out of what was read, or none if it has not come whole.
+pub(super) fn take_request(unread: &mut BytesMut) -> Result<Option<Request>, BadRequest> {
+    let mut headers = [httparse::EMPTY_HEADER; MOST_REQUEST_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    let length = match head.parse(unread)? {
+        httparse::Status::Complete(length) => length,
+        httparse::Status::Partial if unread.len() > LONGEST_REQUEST_HEAD => {
+            return Err(BadRequest::Unsupported("the head is too long"));
+        }
+        httparse::Status::Partial => return Ok(None),
+    };
+    let request = understand(&head)?;
+    unread.advance(length);
+    Ok(Some(request))
+}
+
+fn understand(head: &httparse::Request<'_, '_>) -> Result<Request, BadRequest> {
+    if head.version != Some(1) {
+        return Err(BadRequest::Unsupported("the version is not 1.1"));
+    }
+    if head.method != Some("GET") {
+        return Err(BadRequest::Unsupported("the method is not GET"));
+    }
+    if has_body(head) {
+        return Err(BadRequest::Unsupported("it has a body"));
+    }
+    let target = head.path.unwrap_or_default().parse::<Uri>();
+    let target = target.map_err(|_| BadRequest::Unsupported("the target is not a URI"))?;
+    let call = match target.path() {
+        "/v1/endpoints" => call(target.query().unwrap_or_default())?,
+        _ => Call::NotFound,
+    };
+    let closes = header(head, "connection").is_some_and(|value| value.eq_ignore_ascii_case(b"close"));
+    Ok(Request { call, closes })
+}
+
+fn call(query: &str) -> Result<Call, BadRequest> {
+    match parameter(query, "follow") {
+        None => Ok(Call::List),
+        Some("1") => {
+            let since = parameter(query, "since").map(str::parse).transpose();
+            let since = since.map_err(|_| BadRequest::Unsupported("since is not a version"))?;
+            Ok(Call::Watch { since })
+        }
+        Some(_) => Err(BadRequest::Unsupported("follow is not 1")),
+    }
+}
+
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    let mut parameters = query.split('&').filter_map(|parameter| parameter.split_once('='));
+    parameters.find(|(parameter, _)| *parameter == name).map(|(_, value)| value)
+}
+
+fn has_body(head: &httparse::Request<'_, '_>) -> bool {
+    header(head, "transfer-encoding").is_some()
+        || header(head, "content-length").is_some_and(|length| length != b"0")
+}
+
+fn header<'a>(head: &httparse::Request<'_, 'a>, name: &str) -> Option<&'a [u8]> {
+    head.headers.iter().find(|header| header.name.eq_ignore_ascii_case(name)).map(|header| header.value)
+}
+
+/// The head of an answer with the whole list.
+pub(super) fn list_head(length: usize) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {length}\r\n\r\n")
+}
+
+/// One object of the protocol.
+#[derive(Serialize)]
+struct Message<'a> {
+    index: u64,
+    snapshot: bool,
+    endpoints: Vec<&'a EndpointEntry>,
+}
+
+/// The whole list as one line.
+pub(super) fn whole_list<'a>(version: u64, endpoints: impl Iterator<Item = &'a EndpointEntry>) -> Vec<u8> {
+    line(&Message { index: version, snapshot: true, endpoints: endpoints.collect() })
+}
+
+/// Changes that lead to a version as one line.
+pub(super) fn changes<'a>(version: u64, changed: impl Iterator<Item = &'a EndpointEntry>) -> Vec<u8> {
+    line(&Message { index: version, snapshot: false, endpoints: changed.collect() })
+}
+
+fn line(message: &Message<'_>) -> Vec<u8> {
+    let mut line = serde_json::to_vec(message).expect("entries are plain data");
+    line.push(b'\n');
+    line
+}
+
+/// Text as one chunk of a chunked answer.
+pub(super) fn chunk(text: &[u8]) -> Bytes {
+    let mut chunk = format!("{:x}\r\n", text.len()).into_bytes();
+    chunk.extend_from_slice(text);
+    chunk.extend_from_slice(b"\r\n");
+    chunk.into()
+}
--- /dev/null
+++ b/lab/src/discovery/server.rs
@@ -0,0 +1,129 @@
+//! The service's thread: it carries out the commands of other threads, next to the tasks of its connections.
+
+use super::service::Service;
+use super::zone::Zone;
+use super::{DiscoveryOptions, DiscoveryUsage, EndpointEntry};
+use crate::topology::ZoneName;
+use rustix::time::{ClockId, clock_gettime};
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+use std::sync::mpsc::SyncSender;
+use std::time::Duration;
+use tokio::runtime;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::LocalSet;
+
+/// What another thread wants done; the reply comes once it is.
+pub(super) enum Command {
+    Snapshot { reply: SyncSender<(u64, Vec<EndpointEntry>)> },
+    Publish { changes: Vec<EndpointEntry>, reply: SyncSender<u64> },
+    BeginOutage { reply: SyncSender<()> },
+    EndOutage { reply: SyncSender<io::Result<()>> },
+    SetSilent { zone: ZoneName, silent: bool, reply: SyncSender<()> },
+    Usage { reply: SyncSender<DiscoveryUsage> },
+    WatchesByZone { reply: SyncSender<BTreeMap<ZoneName, u64>> },
+}
+
+/// The body of the service's thread. It tells whether it has started, and ends with the channel of commands.
+pub(super) fn run(
+    commands: UnboundedReceiver<Command>,
+    started: &SyncSender<io::Result<()>>,
+    server: impl FnOnce() -> Server,
+) {
+    let runtime = match runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => return reply_to(started, Err(error)),
+    };
+    let tasks = LocalSet::new();
+    tasks.block_on(&runtime, async {
+        let mut server = server();
+        let listening = server.listen();
+        let has_failed = listening.is_err();
+        reply_to(started, listening);
+        if !has_failed {
+            server.carry_out_all(commands).await;
+        }
+    });
+}
+
+/// The service with its zones.
+pub(super) struct Server {
+    service: Rc<Service>,
+    zones: Vec<Zone>,
+}
+
+impl Server {
+    /// A server that does not listen yet.
+    pub(super) fn new(
+        options: &DiscoveryOptions,
+        time_per_call: Duration,
+        zones: Vec<Zone>,
+        endpoints: Vec<EndpointEntry>,
+    ) -> Self {
+        Server { service: Rc::new(Service::new(options, time_per_call, endpoints)), zones }
+    }
+
+    fn listen(&mut self) -> io::Result<()> {
+        self.zones.iter_mut().try_for_each(|zone| zone.listen(&self.service))
+    }
+
+    async fn carry_out_all(&mut self, mut commands: UnboundedReceiver<Command>) {
+        while let Some(command) = commands.recv().await {
+            self.carry_out(command).await;
+        }
+        self.go_down().await;
+    }
+
+    async fn carry_out(&mut self, command: Command) {
+        match command {
+            Command::Snapshot { reply } => {
+                let registry = self.service.registry.borrow();
+                reply_to(&reply, (registry.version(), registry.endpoints()));
+            }
+            Command::Publish { changes, reply } => reply_to(&reply, self.service.publish(changes)),
+            Command::BeginOutage { reply } => {
+                self.go_down().await;
+                reply_to(&reply, ());
+            }
+            Command::EndOutage { reply } => reply_to(&reply, self.listen()),
+            Command::SetSilent { zone, silent, reply } => {
+                if let Some(zone) = self.zones.iter_mut().find(|known| *known.name() == zone) {
+                    zone.set_silent(silent).await;
+                }
+                reply_to(&reply, ());
+            }
+            Command::Usage { reply } => reply_to(&reply, self.usage()),
+            Command::WatchesByZone { reply } => reply_to(&reply, self.watches_by_zone()),
+        }
+    }
+
+    async fn go_down(&mut self) {
+        for zone in &mut self.zones {
+            zone.go_down().await;
+        }
+        self.service.clear_queue();
+    }
+
+    fn usage(&self) -> DiscoveryUsage {
+        DiscoveryUsage {
+            watches_open: self.zones.iter().map(Zone::watches).sum(),
+            processor_time: thread_processor_time(),
+            ..*self.service.usage.borrow()
+        }
+    }
+
+    fn watches_by_zone(&self) -> BTreeMap<ZoneName, u64> {
+        self.zones.iter().map(|zone| (zone.name().clone(), zone.watches())).collect()
+    }
+}
+
+/// Whoever no longer waits for a reply needs none.
+fn reply_to<T>(reply: &SyncSender<T>, value: T) {
+    let _ = reply.send(value);
+}
+
+fn thread_processor_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::try_from(time).unwrap_or_default()
+}
--- /dev/null
+++ b/lab/tests/discovery.rs
@@ -0,0 +1,389 @@
+//! The discovery service over real sockets: lists, watches, its capacity, outages and silences.
+
+use hyper::body::Incoming;
+use pipittray_lab::discovery::{DiscoveryOptions, DiscoveryServer, EndpointEntry, EndpointStatus};
+use pipittray_lab::topology::ZoneName;
+use serde_json::Value;
+use std::io::{self, BufRead, BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The longest that a test waits for anything.
+const LONGEST_WAIT: Duration = Duration::from_secs(20);
+/// How long a connection is watched that must stay quiet.
+const QUIET: Duration = Duration::from_millis(50);
+const LIST: &str = "/v1/endpoints";
+
+fn options() -> DiscoveryOptions {
+    DiscoveryOptions {
+        calls_per_second: 10_000.0,
+        longest_wait: LONGEST_WAIT,
+        heartbeat: LONGEST_WAIT,
+        remembered_changes: 3,
+    }
+}
+
+fn zones() -> Vec<ZoneName> {
+    vec!["r1-z1".into(), "r1-z2".into()]
+}
+
+fn entry(name: &str, status: EndpointStatus) -> EndpointEntry {
+    EndpointEntry {
+        name: name.into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 7070)),
+        zone: "r1-z1".into(),
+        kind: "m2".into(),
+        group: 3,
+        status,
+        weight: 1.0,
+        since_ms: 0,
+    }
+}
+
+fn serving(name: &str) -> EndpointEntry {
+    entry(name, EndpointStatus::Serving)
+}
+
+fn start(options: DiscoveryOptions) -> DiscoveryServer {
+    DiscoveryServer::start(options, &zones(), vec![serving("a"), serving("b")]).unwrap()
+}
+
+fn wait_until(what: &str, mut condition: impl FnMut() -> bool) {
+    let started = Instant::now();
+    while !condition() {
+        assert!(started.elapsed() < LONGEST_WAIT, "not reached: {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// A caller on a connection of its own.
+struct Caller {
+    stream: BufReader<TcpStream>,
+    bytes_read: usize,
+}
+
+impl Caller {
+    fn connect(server: &DiscoveryServer, zone: usize) -> Self {
+        let stream = TcpStream::connect(server.address(&zones()[zone])).unwrap();
+        stream.set_read_timeout(Some(LONGEST_WAIT)).unwrap();
+        Caller { stream: BufReader::new(stream), bytes_read: 0 }
+    }
+
+    fn send(&mut self, request: &str) {
+        self.stream.get_mut().write_all(request.as_bytes()).unwrap();
+    }
+
+    fn get(&mut self, target: &str) {
+        self.send(&format!("GET {target} HTTP/1.1\r\nHost: discovery\r\n\r\n"));
+    }
+
+    /// A watch whose head has been read.
+    fn watch(server: &DiscoveryServer, zone: usize, query: &str) -> Self {
+        let mut caller = Caller::connect(server, zone);
+        caller.get(&format!("{LIST}?follow=1{query}"));
+        let (status, head) = caller.head();
+        assert_eq!(status, 200);
+        assert!(head.contains("Transfer-Encoding: chunked"), "{head}");
+        caller
+    }
+
+    fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.bytes_read += self.stream.read_line(&mut line).unwrap();
+        assert!(line.ends_with("\r\n"), "{line:?}");
+        line
+    }
+
+    fn read(&mut self, length: usize) -> String {
+        let mut bytes = vec![0; length];
+        self.stream.read_exact(&mut bytes).unwrap();
+        self.bytes_read += length;
+        String::from_utf8(bytes).unwrap()
+    }
+
+    /// The status and the lines of an answer's head.
+    fn head(&mut self) -> (u16, String) {
+        let mut head = self.line();
+        while !head.ends_with("\r\n\r\n") {
+            head += &self.line();
+        }
+        (head["HTTP/1.1 ".len()..][..3].parse().unwrap(), head)
+    }
+
+    /// The status and the body of an answer with a length.
+    fn answer(&mut self) -> (u16, String) {
+        let (status, head) = self.head();
+        let (_, length) = head.split_once("Content-Length: ").unwrap();
+        let (length, _) = length.split_once("\r\n").unwrap();
+        (status, self.read(length.parse().unwrap()))
+    }
+
+    /// One chunk, which is one line.
+    fn chunk(&mut self) -> String {
+        let length = usize::from_str_radix(self.line().trim_end(), 16).unwrap();
+        let mut chunk = self.read(length + "\r\n".len());
+        assert!(chunk.ends_with("\n\r\n"), "{chunk:?}");
+        chunk.truncate(length - "\n".len());
+        assert!(!chunk.contains('\n'), "{chunk:?}");
+        chunk
+    }
+
+    fn message(&mut self) -> String {
+        told(&self.chunk())
+    }
+
+    /// How the connection ended.
+    fn ending(&mut self) -> io::Result<usize> {
+        self.stream.read(&mut [0; 256])
+    }
+
+    fn assert_is_quiet(&mut self) {
+        self.stream.get_mut().set_read_timeout(Some(QUIET)).unwrap();
+        assert_eq!(self.ending().unwrap_err().kind(), ErrorKind::WouldBlock);
+        self.stream.get_mut().set_read_timeout(Some(LONGEST_WAIT)).unwrap();
+    }
+
+    fn assert_is_reset(&mut self) {
+        assert_eq!(self.ending().unwrap_err().kind(), ErrorKind::ConnectionReset);
+    }
+}
+
+/// One object as its version, `list` or `changes`, and names with statuses.
+fn told(text: &str) -> String {
+    let message: Value = serde_json::from_str(text).unwrap();
+    let kind = if message["snapshot"].as_bool().unwrap() { "list" } else { "changes" };
+    let entries = message["endpoints"].as_array().unwrap().iter();
+    let entries = entries.map(|entry| format!(" {}={}", entry["name"], entry["status"])).collect::<String>();
+    format!("{} {kind}{entries}", message["index"]).replace('"', "")
+}
+
+#[test]
+fn the_whole_list_has_the_published_form() {
+    let server = start(options());
+    let mut caller = Caller::connect(&server, 0);
+    caller.get(LIST);
+    let (status, body) = caller.answer();
+    assert_eq!(status, 200);
+    let message: Value = serde_json::from_str(&body).unwrap();
+    let first = serde_json::json!({
+        "name": "a", "address": "127.0.0.1:7070", "zone": "r1-z1", "type": "m2", "group": 3,
+        "status": "SERVING", "weight": 1.0, "since_ms": 0,
+    });
+    assert_eq!(message["endpoints"][0], first);
+    assert_eq!(told(&body), "1 list a=SERVING b=SERVING");
+
+    server.publish(vec![entry("a", EndpointStatus::Deleted), serving("c")]);
+    caller.get(LIST);
+    assert_eq!(told(&caller.answer().1), "2 list b=SERVING c=SERVING");
+    assert_eq!(server.snapshot(), (2, vec![serving("b"), serving("c")]));
+    assert_eq!((server.usage().connections, server.usage().lists), (1, 2));
+}
+
+#[test]
+fn a_watch_tells_what_changed_since_and_then_each_change_in_order() {
+    let server = start(options());
+    server.publish(vec![serving("c"), entry("a", EndpointStatus::Draining)]);
+    server.publish(vec![entry("a", EndpointStatus::Deleted)]);
+    let mut behind = Caller::watch(&server, 0, "&since=1");
+    let mut current = Caller::watch(&server, 1, "&since=3");
+    assert_eq!(behind.message(), "3 changes a=DELETED c=SERVING");
+    current.assert_is_quiet();
+
+    for version in 4..40 {
+        assert_eq!(server.publish(vec![serving(&format!("d{version}"))]), version);
+    }
+    for version in 4..40 {
+        let change = format!("{version} changes d{version}=SERVING");
+        assert_eq!(behind.message(), change);
+        assert_eq!(current.message(), change);
+    }
+    assert_eq!(server.watches_by_zone(), zones().into_iter().map(|zone| (zone, 1)).collect());
+
+    drop(behind);
+    wait_until("one watch", || server.usage().watches_open == 1);
+    assert_eq!(server.usage().watches_opened, 2);
+    let read = current.bytes_read as u64;
+    assert!(server.usage().bytes_written > 2 * read, "{:?}", server.usage());
+}
+
+#[test]
+fn a_watch_from_an_unknown_version_gets_the_whole_list() {
+    let server = start(options());
+    for _ in 0..4 {
+        server.publish(vec![entry("b", EndpointStatus::Draining)]);
+    }
+    let whole_list = "5 list a=SERVING b=DRAINING";
+    for query in ["", "&since=0", "&since=1", "&since=6"] {
+        assert_eq!(Caller::watch(&server, 0, query).message(), whole_list, "{query}");
+    }
+    let remembered = "5 changes b=DRAINING";
+    assert_eq!(Caller::watch(&server, 0, "&since=2").message(), remembered);
+}
+
+#[test]
+fn a_watch_gets_an_empty_line_each_heartbeat_and_all_bytes_are_counted() {
+    let server = start(DiscoveryOptions { heartbeat: Duration::from_millis(5), ..options() });
+    let mut watch = Caller::watch(&server, 0, "&since=1");
+    for _ in 0..3 {
+        assert_eq!(watch.chunk(), "");
+    }
+    server.begin_outage();
+    // What was written is read to its end, which is the reset.
+    let mut rest = Vec::new();
+    let _ = watch.stream.read_to_end(&mut rest);
+    let usage = server.usage();
+    assert!(usage.heartbeat_bytes >= 3 * "1\r\n\n\r\n".len() as u64, "{usage:?}");
+    assert!(usage.bytes_written >= (watch.bytes_read + rest.len()) as u64, "{usage:?}");
+    let head = usage.bytes_written - usage.heartbeat_bytes;
+    assert_eq!(usage.heartbeat_bytes % 6, 0);
+    assert!((60..200).contains(&head), "{usage:?}");
+}
+
+#[test]
+fn calls_beyond_the_capacity_are_rejected() {
+    const CALLERS: u64 = 40;
+    let longest_wait = Duration::from_millis(100);
+    let server = start(DiscoveryOptions { calls_per_second: 2.0, longest_wait, ..options() });
+    let mut callers: Vec<_> = (0..CALLERS).map(|_| Caller::connect(&server, 0)).collect();
+    callers.iter_mut().for_each(|caller| caller.get(LIST));
+    let answers: Vec<u16> = callers.iter_mut().map(|caller| caller.answer().0).collect();
+    let count = |status| answers.iter().filter(|answer| **answer == status).count() as u64;
+    let usage = server.usage();
+    assert_eq!((usage.lists, usage.rejected), (count(200), count(503)));
+    assert_eq!(usage.lists + usage.rejected, CALLERS);
+    assert!(usage.lists > 0 && usage.rejected > 0, "{usage:?}");
+    assert!((1..CALLERS).contains(&usage.longest_queue), "{usage:?}");
+    // A connection goes on after a rejection.
+    wait_until("a list again", || {
+        callers[0].get(LIST);
+        callers[0].answer().0 == 200
+    });
+}
+
+#[test]
+fn a_caller_that_leaves_before_its_turn_is_counted_as_abandoned() {
+    let server = start(DiscoveryOptions { calls_per_second: 1.0, ..options() });
+    let [mut first, mut leaving, mut last] = [(); 3].map(|()| Caller::connect(&server, 0));
+    first.get(LIST);
+    assert_eq!(first.answer().0, 200);
+    leaving.get(LIST);
+    wait_until("one waits in turn", || server.usage().longest_queue == 1);
+    last.get(LIST);
+    wait_until("two wait in turn", || server.usage().longest_queue == 2);
+    drop(leaving);
+    assert_eq!(last.answer().0, 200);
+    assert_eq!((server.usage().lists, server.usage().abandoned, server.usage().rejected), (2, 1, 0));
+}
+
+#[test]
+fn an_outage_resets_all_and_refuses_until_its_end() {
+    let server = start(options());
+    let address = server.address(&zones()[0]);
+    let mut watch = Caller::watch(&server, 0, "&since=1");
+    let mut idle = Caller::connect(&server, 1);
+    server.begin_outage();
+    watch.assert_is_reset();
+    idle.assert_is_reset();
+    assert_eq!(server.usage().watches_open, 0);
+    assert_eq!(TcpStream::connect(address).unwrap_err().kind(), ErrorKind::ConnectionRefused);
+
+    server.publish(vec![serving("c")]);
+    server.end_outage();
+    assert_eq!(server.address(&zones()[0]), address);
+    let mut again = Caller::watch(&server, 0, "&since=1");
+    assert_eq!(again.message(), "2 changes c=SERVING");
+}
+
+#[test]
+fn a_zone_that_is_cut_off_is_quiet_and_reset_when_it_is_joined_again() {
+    let server = start(options());
+    let [cut, other] = [&zones()[0], &zones()[1]];
+    let mut cut_watch = Caller::watch(&server, 0, "&since=1");
+    let mut other_watch = Caller::watch(&server, 1, "&since=1");
+    server.set_silent(cut, true);
+    assert_eq!(server.publish(vec![serving("c")]), 2);
+    let change = "2 changes c=SERVING";
+    assert_eq!(other_watch.message(), change);
+    let mut new = Caller::connect(&server, 0);
+    new.get(LIST);
+    wait_until("the new connection is accepted", || server.usage().connections == 3);
+    cut_watch.assert_is_quiet();
+    new.assert_is_quiet();
+    assert_eq!((server.watches_by_zone()[cut], server.watches_by_zone()[other]), (0, 1));
+
+    server.set_silent(cut, false);
+    cut_watch.assert_is_reset();
+    new.assert_is_reset();
+    assert_eq!(Caller::watch(&server, 0, "&since=1").message(), change);
+    server.publish(vec![serving("d")]);
+    assert_eq!(other_watch.message(), "3 changes d=SERVING");
+}
+
+#[test]
+fn what_is_no_call_of_discovery_is_turned_down() {
+    let server = start(options());
+    let long_header = format!("GET {LIST} HTTP/1.1\r\nX: {}\r\n", "x".repeat(20 << 10));
+    let bad = [
+        "what is this\r\n\r\n",
+        "GET /v1/endpoints HTTP/1.0\r\n\r\n",
+        "DELETE /v1/endpoints HTTP/1.1\r\n\r\n",
+        "GET /v1/endpoints?follow=yes HTTP/1.1\r\n\r\n",
+        "GET /v1/endpoints?follow=1&since=-1 HTTP/1.1\r\n\r\n",
+        "GET /v1/endpoints HTTP/1.1\r\nContent-Length: 4\r\n\r\n",
+        long_header.as_str(),
+    ];
+    for request in bad {
+        let mut caller = Caller::connect(&server, 0);
+        caller.send(request);
+        assert_eq!(caller.answer().0, 400, "{request}");
+        assert_eq!(caller.ending().unwrap(), 0, "{request}");
+    }
+    let mut caller = Caller::connect(&server, 0);
+    caller.get("/v1/elsewhere");
+    assert_eq!(caller.answer().0, 404);
+    caller.send("GET /v1/endpoints HTTP/1.1\r\nConnection: close\r\n\r\n");
+    assert_eq!(caller.answer().0, 200);
+    assert_eq!(caller.ending().unwrap(), 0);
+    assert_eq!((server.usage().lists, server.usage().rejected), (1, 0));
+}
+
+#[test]
+fn options_that_make_no_sense_are_turned_down() {
+    let rates = [0.0, -1.0, f64::NAN, 1e-300];
+    let bad_rates = rates.map(|calls_per_second| DiscoveryOptions { calls_per_second, ..options() });
+    let no_heartbeat = DiscoveryOptions { heartbeat: Duration::ZERO, ..options() };
+    for options in bad_rates.into_iter().chain([no_heartbeat]) {
+        assert!(DiscoveryServer::start(options, &zones(), Vec::new()).is_err());
+    }
+}
+
+#[tokio::test]
+async fn a_hyper_client_as_the_sidecars_follows_a_watch() {
+    use http_body_util::{BodyExt, Empty};
+    use hyper::Request;
+    use hyper::body::Bytes;
+    let server = start(options());
+    let stream = tokio::net::TcpStream::connect(server.address(&zones()[0])).await.unwrap();
+    let io = hyper_util::rt::TokioIo::new(stream);
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.unwrap();
+    let connection = tokio::spawn(connection);
+    let call = |target: &str| Request::get(target).header("host", "discovery").body(Empty::<Bytes>::new());
+    let list = sender.send_request(call(LIST).unwrap()).await.unwrap().into_body();
+    let list = list.collect().await.unwrap().to_bytes();
+    assert_eq!(told(std::str::from_utf8(&list).unwrap()), "1 list a=SERVING b=SERVING");
+
+    let target = format!("{LIST}?follow=1&since=1");
+    let mut watch: Incoming = sender.send_request(call(&target).unwrap()).await.unwrap().into_body();
+    for version in 2..5 {
+        server.publish(vec![serving("c")]);
+        let line = watch.frame().await.unwrap().unwrap().into_data().unwrap();
+        let text = std::str::from_utf8(&line).unwrap();
+        assert_eq!(told(text), format!("{version} changes c=SERVING"));
+    }
+    drop(watch);
+    drop(sender);
+    let ended = tokio::time::timeout(LONGEST_WAIT, connection).await;
+    assert!(ended.is_ok(), "the client's connection ends with the call");
+    wait_until("the watch's end", || server.usage().watches_open == 0);
+}
