Answer a discovery client's bad request before its connection ends, whatever it still sends

Change: sending ends after the answer, and the rest is read for a second at most. Bytes written are now asserted to equal those read, and a watch that lags behind is asserted to get the whole list and to go on from there.

--- a/lab/src/discovery/connection.rs
+++ b/lab/src/discovery/connection.rs
@@ -14,10 +14,14 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::ReadHalf;
 use tokio::sync::broadcast::error::RecvError;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout};
 
 /// Bytes read at once from a caller that has opened a watch and has nothing more to say.
 const DISCARDED_READ_BYTES: usize = 64;
+/// Room for a usual request's head, in bytes.
+const USUAL_REQUEST_BYTES: usize = 512;
+/// How long the rest of a bad request is read.
+const BAD_REQUEST_LINGER: Duration = Duration::from_secs(1);
 
 /// Serves a connection that [`prepare`] has readied, until it ends. Dropped earlier, it resets the connection.
 pub(super) async fn serve(mut stream: TcpStream, zone: Rc<ZoneState>, service: Rc<Service>) {
@@ -58,7 +62,7 @@
 
 impl Conversation<'_> {
     async fn run(mut self) -> io::Result<()> {
-        let mut unread = BytesMut::new();
+        let mut unread = BytesMut::with_capacity(USUAL_REQUEST_BYTES);
         loop {
             let request = match protocol::take_request(&mut unread) {
                 Ok(Some(request)) => request,
@@ -70,7 +74,7 @@
                 }
                 Err(problem) => {
                     tracing::debug!(%problem, "bad request");
-                    return self.write(protocol::BAD_REQUEST).await;
+                    return self.turn_down().await;
                 }
             };
             self.answer(request, &mut unread).await?;
@@ -159,6 +163,16 @@
         Ok(())
     }
 
+    /// Answers a bad request and ends sending. The rest of it is read, as a close over unread bytes would be a reset
+    /// that can overtake the answer.
+    async fn turn_down(&mut self) -> io::Result<()> {
+        self.write(protocol::BAD_REQUEST).await?;
+        self.stream.shutdown().await?;
+        let (mut reader, _) = self.stream.split();
+        let _ = timeout(BAD_REQUEST_LINGER, read_until_end(&mut reader)).await;
+        Ok(())
+    }
+
     /// Writes all of it, and counts what was written also where it breaks off.
     async fn write(&mut self, mut bytes: &[u8]) -> io::Result<()> {
         while !bytes.is_empty() {
--- a/lab/tests/discovery.rs
+++ b/lab/tests/discovery.rs
@@ -60,7 +60,7 @@
 /// A caller on a connection of its own.
 struct Caller {
     stream: BufReader<TcpStream>,
-    bytes_read: usize,
+    bytes_read: u64,
 }
 
 impl Caller {
@@ -90,7 +90,7 @@
 
     fn line(&mut self) -> String {
         let mut line = String::new();
-        self.bytes_read += self.stream.read_line(&mut line).unwrap();
+        self.bytes_read += self.stream.read_line(&mut line).unwrap() as u64;
         assert!(line.ends_with("\r\n"), "{line:?}");
         line
     }
@@ -98,7 +98,7 @@
     fn read(&mut self, length: usize) -> String {
         let mut bytes = vec![0; length];
         self.stream.read_exact(&mut bytes).unwrap();
-        self.bytes_read += length;
+        self.bytes_read += length as u64;
         String::from_utf8(bytes).unwrap()
     }
 
@@ -177,7 +177,8 @@
     caller.get(LIST);
     assert_eq!(told(&caller.answer().1), "2 list b=SERVING c=SERVING");
     assert_eq!(server.snapshot(), (2, vec![serving("b"), serving("c")]));
-    assert_eq!((server.usage().connections, server.usage().lists), (1, 2));
+    let usage = server.usage();
+    assert_eq!((usage.connections, usage.lists, usage.bytes_written), (1, 2, caller.bytes_read));
 }
 
 #[test]
@@ -199,12 +200,11 @@
         assert_eq!(current.message(), change);
     }
     assert_eq!(server.watches_by_zone(), zones().into_iter().map(|zone| (zone, 1)).collect());
+    assert_eq!(server.usage().bytes_written, behind.bytes_read + current.bytes_read);
 
     drop(behind);
     wait_until("one watch", || server.usage().watches_open == 1);
     assert_eq!(server.usage().watches_opened, 2);
-    let read = current.bytes_read as u64;
-    assert!(server.usage().bytes_written > 2 * read, "{:?}", server.usage());
 }
 
 #[test]
@@ -225,19 +225,37 @@
 fn a_watch_gets_an_empty_line_each_heartbeat_and_all_bytes_are_counted() {
     let server = start(DiscoveryOptions { heartbeat: Duration::from_millis(5), ..options() });
     let mut watch = Caller::watch(&server, 0, "&since=1");
+    let head_bytes = watch.bytes_read;
     for _ in 0..3 {
         assert_eq!(watch.chunk(), "");
     }
-    server.begin_outage();
-    // What was written is read to its end, which is the reset.
-    let mut rest = Vec::new();
-    let _ = watch.stream.read_to_end(&mut rest);
     let usage = server.usage();
-    assert!(usage.heartbeat_bytes >= 3 * "1\r\n\n\r\n".len() as u64, "{usage:?}");
-    assert!(usage.bytes_written >= (watch.bytes_read + rest.len()) as u64, "{usage:?}");
-    let head = usage.bytes_written - usage.heartbeat_bytes;
-    assert_eq!(usage.heartbeat_bytes % 6, 0);
-    assert!((60..200).contains(&head), "{usage:?}");
+    assert_eq!(usage.bytes_written, head_bytes + usage.heartbeat_bytes);
+    assert!(usage.heartbeat_bytes >= watch.bytes_read - head_bytes, "{usage:?}");
+}
+
+#[test]
+fn a_watch_that_lags_too_far_behind_gets_the_whole_list_and_goes_on_from_there() {
+    const VERSIONS: u64 = 3_000;
+    let server = start(options());
+    let mut watch = Caller::watch(&server, 0, "&since=1");
+    let long = EndpointEntry { kind: "x".repeat(20 << 10), ..serving("a") };
+    for _ in 2..=VERSIONS {
+        server.publish(vec![long.clone()]);
+    }
+    let (mut version, mut lists) = (1, 0);
+    while version < VERSIONS {
+        let message = watch.message();
+        let (index, rest) = message.split_once(' ').unwrap();
+        let index: u64 = index.parse().unwrap();
+        let is_list = rest == "list a=SERVING b=SERVING";
+        assert!(index == version + 1 || (is_list && index > version), "{message} after {version}");
+        version = index;
+        lists += u64::from(is_list);
+    }
+    assert!(lists > 0);
+    server.publish(vec![serving("c")]);
+    assert_eq!(watch.message(), format!("{} changes c=SERVING", VERSIONS + 1));
 }
 
 #[test]
