Lab: endpoints with cores, queue, cold ramp, load reports and calls to the next tier

Need: the scale rig measures latencies of 0.1 to 0.4 ms through sidecars, so the servers behind them must add little, and hundreds of them must fit in one process.

Change: an endpoint host runs endpoints on a few threads, each a current-thread runtime. Requests are parsed with httparse and answered with one write, without a timer or a task switch where the service time is none. A stopped endpoint keeps its port by a bound socket that never listens, so that it can start again at its address. Timers fire at whole milliseconds, late; the lateness of one work is taken off the next ones, so that the mean holds. Chunked request bodies are answered 411.

--- /dev/null
+++ b/lab/src/endpoint/connection.rs
@@ -0,0 +1,238 @@
+//! HTTP/1.1 on one connection of an endpoint: one request at a time, each answered with one write.
+
+use super::downstream::Downstream;
+use super::message::{Answer, Request, RequestError};
+use super::state::EndpointState;
+use super::work::{Admission, Core, CorePool, LoadReport, QueuePlace};
+use bytes::BytesMut;
+use rand::RngExt;
+use rand_pcg::Pcg64;
+use std::io;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// Room for each read, in bytes.
+pub(super) const READ_BYTES: usize = 1024;
+
+/// The most bytes that are read ahead while a request waits for its turn; more stay with the kernel.
+const MAX_AHEAD_BYTES: usize = 16 * 1024;
+
+/// What every answer of 200 holds, as often as it takes.
+const BODY_BYTE: u8 = b'x';
+
+/// An endpoint from one start to its stop.
+pub(super) struct RunningEndpoint {
+    pub state: Arc<EndpointState>,
+    pool: CorePool,
+    downstream: Option<Downstream>,
+    body: Vec<u8>,
+}
+
+impl RunningEndpoint {
+    pub fn new(state: Arc<EndpointState>, host_seed: u64) -> Self {
+        let mut random = state.random(host_seed);
+        let call_ids = Pcg64::new(random.random(), random.random());
+        Self {
+            pool: CorePool::new(&state.options, random),
+            downstream: state.next_sidecar.map(|sidecar| Downstream::new(sidecar, call_ids)),
+            body: vec![BODY_BYTE; state.options.answer_bytes],
+            state,
+        }
+    }
+
+    /// The load report that an answer carries, where answers carry one.
+    fn load_report(&self) -> Option<LoadReport> {
+        let calls = self.downstream.as_ref().map_or(0, Downstream::calls_in_flight);
+        self.state.options.load_reports.then(|| self.pool.load_report(calls))
+    }
+
+    /// The answer to a probe; none if the request is none.
+    fn answer_probe(&self, request: &Request) -> Option<Answer> {
+        let answer = match (request.method.as_str(), request.path.as_str()) {
+            ("GET", "/health") => Answer::Healthy,
+            ("GET", "/status/load") => Answer::Load,
+            _ => return None,
+        };
+        self.state.counters.probes.increment();
+        Some(if self.state.options.load_reports { answer } else { Answer::NotFound })
+    }
+
+    /// Works on a request that has a core, and calls the next tier where there is one.
+    async fn run(&self, request: &Request, core: Core<'_>, deadline: Option<Instant>) -> Answer {
+        core.work().await;
+        drop(core);
+        if self.pool.draw_error() {
+            return Answer::Failed;
+        }
+        if let Some(downstream) = &self.downstream
+            && let Err(error) = downstream.call(request, deadline).await
+        {
+            tracing::debug!(endpoint = %self.state.name, %error, "call to the next tier failed");
+            self.state.counters.failed.increment();
+            return Answer::Failed;
+        }
+        Answer::Served
+    }
+
+    fn count(&self, answer: Answer) {
+        match answer {
+            Answer::Served => self.state.counters.served.increment(),
+            Answer::NotRun => self.state.counters.turned_away.increment(),
+            _ => {}
+        }
+    }
+}
+
+/// How a connection ends.
+enum Ending {
+    /// Closed in order.
+    Closed,
+    /// Reset, as by a process that dies.
+    Reset,
+}
+
+/// Serves a connection until it ends; when dropped earlier, it is reset.
+pub(super) async fn serve(stream: TcpStream, endpoint: Rc<RunningEndpoint>) {
+    // Without it the connection merely is slower.
+    let _ = stream.set_nodelay(true);
+    let mut connection = Connection::new(stream, endpoint);
+    match connection.run().await {
+        Ok(Ending::Closed) => connection.resets = false,
+        Ok(Ending::Reset) | Err(_) => {}
+    }
+}
+
+struct Connection {
+    stream: TcpStream,
+    endpoint: Rc<RunningEndpoint>,
+    input: BytesMut,
+    output: Vec<u8>,
+    /// Whether it is reset, not closed, when it is dropped.
+    resets: bool,
+}
+
+impl Connection {
+    fn new(stream: TcpStream, endpoint: Rc<RunningEndpoint>) -> Self {
+        endpoint.state.counters.connections.increment();
+        endpoint.state.counters.connections_open.increment();
+        Self { stream, endpoint, input: BytesMut::new(), output: Vec::new(), resets: true }
+    }
+
+    async fn run(&mut self) -> io::Result<Ending> {
+        let endpoint = Rc::clone(&self.endpoint);
+        loop {
+            let request = match self.next_request().await? {
+                Some(Ok(request)) => request,
+                Some(Err(error)) => {
+                    self.write(Answer::Rejected(error), true).await?;
+                    return Ok(Ending::Closed);
+                }
+                None => return Ok(Ending::Closed),
+            };
+            let Some(answer) = self.answer(&endpoint, &request).await else {
+                return Ok(Ending::Closed);
+            };
+            if endpoint.state.is_silent() {
+                return self.stay_silent().await;
+            }
+            endpoint.count(answer);
+            self.write(answer, request.closes).await?;
+            if request.closes {
+                return Ok(Ending::Closed);
+            }
+        }
+    }
+
+    /// Reads the next request; none at the connection's end.
+    async fn next_request(&mut self) -> io::Result<Option<Result<Request, RequestError>>> {
+        loop {
+            if !self.input.is_empty()
+                && let Some(request) = Request::take(&mut self.input).transpose()
+            {
+                return Ok(Some(request));
+            }
+            self.input.reserve(READ_BYTES);
+            if self.stream.read_buf(&mut self.input).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    /// Sees to a request; no answer if its sender has gone before its turn came.
+    async fn answer(&mut self, endpoint: &RunningEndpoint, request: &Request) -> Option<Answer> {
+        if let Some(answer) = endpoint.answer_probe(request) {
+            return Some(answer);
+        }
+        endpoint.state.counters.requests.increment();
+        if !request.has_id {
+            return Some(Answer::NotFound);
+        }
+        let deadline = request.time_left.and_then(|time_left| Instant::now().checked_add(time_left));
+        let core = match endpoint.pool.admit() {
+            Admission::Core(core) => core,
+            Admission::Queued(place) => self.wait_for_core(place).await?,
+            Admission::TurnedAway => return Some(Answer::NotRun),
+        };
+        if deadline.is_some_and(|deadline| deadline <= Instant::now()) {
+            return Some(Answer::NotRun);
+        }
+        Some(endpoint.run(request, core, deadline).await)
+    }
+
+    /// Waits for a core; none if the sender goes first.
+    async fn wait_for_core<'pool>(&mut self, place: QueuePlace<'pool>) -> Option<Core<'pool>> {
+        tokio::select! {
+            biased;
+            () = self.end_of_input() => None,
+            core = place.core() => Some(core),
+        }
+    }
+
+    /// Waits until the sender closes the connection or its sending on it; what it sends meanwhile is kept.
+    async fn end_of_input(&mut self) {
+        while self.input.len() < MAX_AHEAD_BYTES {
+            self.input.reserve(READ_BYTES);
+            if matches!(self.stream.read_buf(&mut self.input).await, Ok(0) | Err(_)) {
+                return;
+            }
+        }
+        std::future::pending().await
+    }
+
+    async fn write(&mut self, answer: Answer, closes: bool) -> io::Result<()> {
+        self.output.clear();
+        let report = self.endpoint.load_report();
+        answer.write(&mut self.output, &self.endpoint.body, report, closes);
+        self.stream.write_all(&self.output).await
+    }
+
+    /// Owes an answer until the silence ends, which resets the connection; its sender may close it first.
+    async fn stay_silent(&mut self) -> io::Result<Ending> {
+        let endpoint = Rc::clone(&self.endpoint);
+        tokio::select! {
+            biased;
+            () = endpoint.state.end_of_silence() => Ok(Ending::Reset),
+            ended = discard(&mut self.stream) => ended.map(|()| Ending::Closed),
+        }
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if self.resets {
+            // Without it the connection is closed instead.
+            let _ = self.stream.set_zero_linger();
+        }
+        self.endpoint.state.counters.connections_open.decrement();
+    }
+}
+
+/// Reads until the other side ends, and keeps nothing.
+async fn discard(stream: &mut TcpStream) -> io::Result<()> {
+    let mut scratch = [0; READ_BYTES];
+    while stream.read(&mut scratch).await? > 0 {}
+    Ok(())
+}
--- /dev/null
+++ b/lab/src/endpoint/downstream.rs
@@ -0,0 +1,182 @@
+//! The call to the next tier, through the sidecar that stands before it. Connections are kept and used again, each for
+//! one call at a time.
+
+use super::message::Request;
+use super::response::{Response, ResponseError, is_spent, read_response};
+use bytes::BytesMut;
+use rand::RngExt;
+use rand_pcg::Pcg64;
+use std::cell::{Cell, RefCell};
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+/// The most connections that rest at once; further ones are closed after their call.
+const MAX_IDLE_CONNECTIONS: usize = 64;
+
+/// How long an endpoint waits for the sidecar beyond the deadline, as its time limits are on sockets.
+const DEADLINE_GRACE: Duration = Duration::from_millis(50);
+
+/// How long it waits where the request has no deadline.
+const LONGEST_CALL: Duration = Duration::from_secs(30);
+
+const OK: u16 = 200;
+
+/// Calls through one sidecar.
+pub(super) struct Downstream {
+    sidecar: SocketAddr,
+    idle: RefCell<Vec<CallConnection>>,
+    in_flight: Cell<u32>,
+    ids: RefCell<Pcg64>,
+}
+
+/// Why a call did not succeed.
+#[derive(Debug, thiserror::Error)]
+pub(super) enum CallError {
+    /// The deadline passed before the call.
+    #[error("no time is left for the call")]
+    NoTimeLeft,
+    /// No answer came in time.
+    #[error("the call timed out")]
+    TimedOut,
+    /// The connection could not be opened, or the request not be written.
+    #[error("cannot send: {0}")]
+    Send(#[from] io::Error),
+    /// No whole response came.
+    #[error(transparent)]
+    Response(#[from] ResponseError),
+    /// The sidecar answered otherwise than 200.
+    #[error("status {0}")]
+    Status(u16),
+}
+
+impl CallError {
+    /// Whether the connection had ended before the sidecar began to answer.
+    fn is_unanswered(&self) -> bool {
+        matches!(self, CallError::Send(_) | CallError::Response(ResponseError::NoResponse))
+    }
+}
+
+impl Downstream {
+    /// Calls through this sidecar, with ids from these random numbers.
+    pub fn new(sidecar: SocketAddr, ids: Pcg64) -> Self {
+        Self { sidecar, idle: RefCell::default(), in_flight: Cell::new(0), ids: RefCell::new(ids) }
+    }
+
+    /// Calls that wait for their answers.
+    pub fn calls_in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// Passes a request on with a new id and what is left of its time; an error unless the answer is 200.
+    pub async fn call(&self, request: &Request, deadline: Option<Instant>) -> Result<(), CallError> {
+        let time_left = deadline.map(|deadline| deadline.saturating_duration_since(Instant::now()));
+        if time_left.is_some_and(|time_left| time_left.is_zero()) {
+            return Err(CallError::NoTimeLeft);
+        }
+        let longest = time_left.map_or(LONGEST_CALL, |time_left| time_left.saturating_add(DEADLINE_GRACE));
+        let call = Call { id: self.ids.borrow_mut().random(), request, deadline };
+        self.in_flight.set(self.in_flight.get() + 1);
+        let response = tokio::time::timeout(longest, self.send(&call)).await;
+        self.in_flight.set(self.in_flight.get() - 1);
+        match response.map_err(|_| CallError::TimedOut)?? {
+            Response { status: OK, .. } => Ok(()),
+            Response { status, .. } => Err(CallError::Status(status)),
+        }
+    }
+
+    /// Sends a call on a kept connection if there is one. When that was closed before the sidecar answered, the call
+    /// is sent once more on a new one.
+    async fn send(&self, call: &Call<'_>) -> Result<Response, CallError> {
+        if let Some(kept) = self.kept_connection() {
+            match self.send_on(kept, call).await {
+                Err(error) if error.is_unanswered() => {}
+                outcome => return outcome,
+            }
+        }
+        let connection = CallConnection::open(self.sidecar).await?;
+        self.send_on(connection, call).await
+    }
+
+    async fn send_on(&self, mut connection: CallConnection, call: &Call<'_>) -> Result<Response, CallError> {
+        let response = connection.exchange(call).await?;
+        if response.keeps_connection {
+            self.keep(connection);
+        }
+        Ok(response)
+    }
+
+    /// The connection that was used last and is still open.
+    fn kept_connection(&self) -> Option<CallConnection> {
+        let mut idle = self.idle.borrow_mut();
+        while let Some(connection) = idle.pop() {
+            if !is_spent(&connection.stream) {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, connection: CallConnection) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < MAX_IDLE_CONNECTIONS && connection.input.is_empty() {
+            idle.push(connection);
+        }
+    }
+}
+
+/// What is sent to the sidecar.
+struct Call<'request> {
+    id: u64,
+    request: &'request Request,
+    deadline: Option<Instant>,
+}
+
+impl Call<'_> {
+    /// Writes the whole call to the end of the output.
+    fn write(&self, output: &mut Vec<u8>) -> io::Result<()> {
+        let Request { method, path, class, body, .. } = self.request;
+        write!(
+            output,
+            "{method} {path} HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: {:016x}\r\n",
+            self.id
+        )?;
+        if let Some(class) = class {
+            write!(output, "X-Class: {class}\r\n")?;
+        }
+        if let Some(deadline) = self.deadline {
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            write!(output, "X-Deadline: {:.6}\r\n", time_left.as_secs_f64())?;
+        }
+        if method != "GET" || !body.is_empty() {
+            write!(output, "Content-Length: {}\r\n", body.len())?;
+        }
+        output.extend_from_slice(b"\r\n");
+        output.extend_from_slice(body);
+        Ok(())
+    }
+}
+
+/// A connection to the sidecar.
+struct CallConnection {
+    stream: TcpStream,
+    input: BytesMut,
+    output: Vec<u8>,
+}
+
+impl CallConnection {
+    async fn open(sidecar: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(sidecar).await?;
+        stream.set_nodelay(true)?;
+        Ok(Self { stream, input: BytesMut::new(), output: Vec::new() })
+    }
+
+    async fn exchange(&mut self, call: &Call<'_>) -> Result<Response, CallError> {
+        self.output.clear();
+        call.write(&mut self.output)?;
+        self.stream.write_all(&self.output).await?;
+        Ok(read_response(&mut self.stream, &mut self.input).await?)
+    }
+}
--- /dev/null
+++ b/lab/src/endpoint/message.rs
@@ -0,0 +1,161 @@
+//! Requests as they are read from a connection, and the answers to them.
+
+use super::work::LoadReport;
+use bytes::{Buf, BytesMut};
+use std::io::Write;
+use std::time::Duration;
+
+/// The most headers of a request or of a sidecar's response.
+pub(super) const MAX_HEADERS: usize = 64;
+
+/// The longest request line with headers, in bytes.
+pub(super) const MAX_HEAD_BYTES: usize = 16 * 1024;
+
+/// The longest body, in bytes.
+const MAX_BODY_BYTES: usize = 64 * 1024;
+
+/// A request that came whole.
+#[derive(Debug)]
+pub(super) struct Request {
+    pub method: String,
+    pub path: String,
+    pub has_id: bool,
+    pub class: Option<String>,
+    /// How long the sender waits, from when the request came.
+    pub time_left: Option<Duration>,
+    /// Whether the sender wants the connection closed after the answer.
+    pub closes: bool,
+    pub body: Vec<u8>,
+}
+
+/// Why bytes are no request that an endpoint takes.
+#[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
+pub(super) enum RequestError {
+    /// They are not HTTP/1.1, or a header's value makes no sense.
+    #[error("malformed request")]
+    Malformed,
+    /// The body has no `Content-Length`; chunked bodies are not taken.
+    #[error("length required")]
+    LengthRequired,
+    /// The head or the body is too long.
+    #[error("request too large")]
+    TooLarge,
+}
+
+impl Request {
+    /// Takes a request from the front of the buffer; none while a part of it is missing.
+    pub fn take(buffer: &mut BytesMut) -> Result<Option<Self>, RequestError> {
+        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut head = httparse::Request::new(&mut headers);
+        let status = head.parse(buffer).map_err(|_| RequestError::Malformed)?;
+        let httparse::Status::Complete(head_length) = status else {
+            return if buffer.len() > MAX_HEAD_BYTES { Err(RequestError::TooLarge) } else { Ok(None) };
+        };
+        let (mut request, body_length) = Self::from_head(&head)?;
+        if buffer.len() < head_length + body_length {
+            return Ok(None);
+        }
+        buffer.advance(head_length);
+        request.body.extend_from_slice(&buffer[..body_length]);
+        buffer.advance(body_length);
+        Ok(Some(request))
+    }
+
+    /// The request without its body, and the length of the body.
+    fn from_head(head: &httparse::Request<'_, '_>) -> Result<(Self, usize), RequestError> {
+        let mut request = Request {
+            method: head.method.unwrap_or_default().to_owned(),
+            path: head.path.unwrap_or_default().to_owned(),
+            has_id: false,
+            class: None,
+            time_left: None,
+            closes: head.version == Some(0),
+            body: Vec::new(),
+        };
+        let mut body_length = 0;
+        for header in head.headers.iter() {
+            let value = str::from_utf8(header.value).map_err(|_| RequestError::Malformed)?;
+            let is = |name: &str| header.name.eq_ignore_ascii_case(name);
+            if is("x-request-id") {
+                request.has_id = !value.is_empty();
+            } else if is("x-class") {
+                request.class = Some(value.to_owned());
+            } else if is("x-deadline") {
+                request.time_left = Some(parse_seconds(value)?);
+            } else if is("connection") {
+                request.closes = value.eq_ignore_ascii_case("close");
+            } else if is("content-length") {
+                body_length = value.parse().map_err(|_| RequestError::Malformed)?;
+            } else if is("transfer-encoding") {
+                return Err(RequestError::LengthRequired);
+            }
+        }
+        if body_length > MAX_BODY_BYTES {
+            return Err(RequestError::TooLarge);
+        }
+        Ok((request, body_length))
+    }
+}
+
+/// A time in seconds with decimals; one that has passed counts as zero.
+fn parse_seconds(text: &str) -> Result<Duration, RequestError> {
+    let seconds: f64 = text.parse().map_err(|_| RequestError::Malformed)?;
+    Duration::try_from_secs_f64(seconds.max(0.0)).map_err(|_| RequestError::Malformed)
+}
+
+/// What a request is answered with.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Answer {
+    /// 200 with the endpoint's body.
+    Served,
+    /// 200 to a probe of `/health`.
+    Healthy,
+    /// 200 to a probe of `/status/load`, with the load report as the body.
+    Load,
+    /// 500: the work, or the call to the next tier, has failed.
+    Failed,
+    /// 503 with `X-Not-Run: 1`.
+    NotRun,
+    /// 404: no id, or a probe where there are none.
+    NotFound,
+    /// The request was not understood.
+    Rejected(RequestError),
+}
+
+impl Answer {
+    /// Writes the whole answer to the end of the output.
+    pub fn write(self, output: &mut Vec<u8>, own_body: &[u8], report: Option<LoadReport>, closes: bool) {
+        let report_text = if self == Answer::Load { report.map(|report| report.to_string()) } else { None };
+        let body = match self {
+            Answer::Served => own_body,
+            Answer::Load => report_text.as_deref().unwrap_or_default().as_bytes(),
+            _ => b"",
+        };
+        const CANNOT_FAIL: &str = "memory can be written to";
+        write!(output, "HTTP/1.1 {}\r\nContent-Length: {}\r\n", self.status(), body.len())
+            .expect(CANNOT_FAIL);
+        if let Some(report) = report {
+            write!(output, "X-Load: {report}\r\n").expect(CANNOT_FAIL);
+        }
+        if self == Answer::NotRun {
+            output.extend_from_slice(b"X-Not-Run: 1\r\n");
+        }
+        if closes {
+            output.extend_from_slice(b"Connection: close\r\n");
+        }
+        output.extend_from_slice(b"\r\n");
+        output.extend_from_slice(body);
+    }
+
+    fn status(self) -> &'static str {
+        match self {
+            Answer::Served | Answer::Healthy | Answer::Load => "200 OK",
+            Answer::Failed => "500 Internal Server Error",
+            Answer::NotRun => "503 Service Unavailable",
+            Answer::NotFound => "404 Not Found",
+            Answer::Rejected(RequestError::Malformed) => "400 Bad Request",
+            Answer::Rejected(RequestError::LengthRequired) => "411 Length Required",
+            Answer::Rejected(RequestError::TooLarge) => "413 Content Too Large",
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/endpoint/state.rs
@@ -0,0 +1,165 @@
+//! What an endpoint's handles and the thread that runs it share: its address, its silence and its counts.
+
+use super::{EndpointOptions, EndpointUsage};
+use crate::topology::{EndpointName, ZoneName};
+use rand_pcg::Pcg64;
+use socket2::{Domain, Protocol, Socket, Type};
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::sync::watch;
+
+/// Connections that wait to be accepted.
+const ACCEPT_BACKLOG: i32 = 1024;
+
+/// An endpoint, over all its starts.
+pub(super) struct EndpointState {
+    /// Its number in its host.
+    pub number: u64,
+    pub name: EndpointName,
+    pub zone: ZoneName,
+    pub options: EndpointOptions,
+    pub next_sidecar: Option<SocketAddr>,
+    /// Where it listens, the same after each start.
+    pub address: SocketAddr,
+    pub counters: Counters,
+    /// A socket that is bound but never listens: while the endpoint is stopped, it keeps its port from others.
+    _reservation: Socket,
+    since_ms: AtomicU64,
+    restarts: AtomicU64,
+    silent: watch::Sender<bool>,
+}
+
+impl EndpointState {
+    pub fn new(
+        number: u64,
+        name: EndpointName,
+        zone: ZoneName,
+        options: EndpointOptions,
+        next_sidecar: Option<SocketAddr>,
+    ) -> io::Result<Self> {
+        let (reservation, address) = reserve_address()?;
+        let since_ms = if options.cold_ramp.is_some() { unix_milliseconds() } else { 0 };
+        Ok(Self {
+            number,
+            name,
+            zone,
+            options,
+            next_sidecar,
+            address,
+            counters: Counters::default(),
+            _reservation: reservation,
+            since_ms: AtomicU64::new(since_ms),
+            restarts: AtomicU64::new(0),
+            silent: watch::Sender::new(false),
+        })
+    }
+
+    /// Listens at its address.
+    pub fn listen(&self) -> io::Result<TcpListener> {
+        let socket = new_socket()?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&self.address.into())?;
+        socket.listen(ACCEPT_BACKLOG)?;
+        socket.set_nonblocking(true)?;
+        Ok(socket.into())
+    }
+
+    /// Its last start in Unix time milliseconds, or 0 for long ago.
+    pub fn since_ms(&self) -> u64 {
+        self.since_ms.load(Ordering::Relaxed)
+    }
+
+    /// Notes that it starts again now.
+    pub fn note_restart(&self) {
+        self.since_ms.store(unix_milliseconds(), Ordering::Relaxed);
+        self.restarts.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Random numbers for its present start, other ones than those of other endpoints and starts.
+    pub fn random(&self, host_seed: u64) -> Pcg64 {
+        let restarts = self.restarts.load(Ordering::Relaxed);
+        let stream = (u128::from(self.number) << u64::BITS) | u128::from(restarts);
+        Pcg64::new(host_seed.into(), stream)
+    }
+
+    pub fn set_silent(&self, silent: bool) {
+        self.silent.send_replace(silent);
+    }
+
+    pub fn is_silent(&self) -> bool {
+        *self.silent.borrow()
+    }
+
+    /// Waits until it is not silent.
+    pub async fn end_of_silence(&self) {
+        let mut silent = self.silent.subscribe();
+        // The sender lives as long as `self`, so that the wait can't fail.
+        let _ = silent.wait_for(|silent| !silent).await;
+    }
+}
+
+/// Takes a port of the system's choice without listening on it.
+fn reserve_address() -> io::Result<(Socket, SocketAddr)> {
+    let socket = new_socket()?;
+    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into())?;
+    // Set after the bind, so that the system does not choose a port that another endpoint has reserved.
+    socket.set_reuse_address(true)?;
+    let address = socket.local_addr()?.as_socket();
+    let address = address.ok_or_else(|| io::Error::other("a TCP socket without an IP address"))?;
+    Ok((socket, address))
+}
+
+fn new_socket() -> io::Result<Socket> {
+    Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))
+}
+
+fn unix_milliseconds() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// A count that one thread raises and others read.
+#[derive(Default)]
+pub(super) struct Counter(AtomicU64);
+
+impl Counter {
+    pub fn increment(&self) {
+        self.0.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub fn decrement(&self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// The counts of [`EndpointUsage`].
+#[derive(Default)]
+pub(super) struct Counters {
+    pub connections: Counter,
+    pub connections_open: Counter,
+    pub requests: Counter,
+    pub served: Counter,
+    pub turned_away: Counter,
+    pub failed: Counter,
+    pub probes: Counter,
+}
+
+impl Counters {
+    pub fn usage(&self) -> EndpointUsage {
+        EndpointUsage {
+            connections: self.connections.get(),
+            connections_open: self.connections_open.get(),
+            requests: self.requests.get(),
+            served: self.served.get(),
+            turned_away: self.turned_away.get(),
+            failed: self.failed.get(),
+            probes: self.probes.get(),
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/endpoint/work.rs
@@ -0,0 +1,207 @@
+//! An endpoint's cores and the queue before them, the time that work takes, and the load report.
+
+use super::{ColdRamp, EndpointOptions, ServiceTime};
+use rand::RngExt;
+use rand_distr::{Distribution, Exp1};
+use rand_pcg::Pcg64;
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::time::{Duration, Instant};
+use tokio::sync::{Semaphore, SemaphorePermit};
+
+/// Time constant of the average that a load report gives as utilisation.
+const UTILISATION_TIME_CONSTANT: Duration = Duration::from_secs(1);
+
+/// The most by which the end of one work that came late shortens later ones; more is a thread that was held up.
+const LONGEST_CARRIED_LATENESS: Duration = Duration::from_millis(2);
+
+/// The cores of a running endpoint, and the requests that wait for one.
+pub(super) struct CorePool {
+    cores: u32,
+    queue_limit: u32,
+    service_time: ServiceTime,
+    ramp: Option<ColdRamp>,
+    error_share: f64,
+    started: Instant,
+    permits: Semaphore,
+    queued: Cell<u32>,
+    busy: Cell<u32>,
+    utilisation: Cell<Utilisation>,
+    lateness: Cell<Duration>,
+    random: RefCell<Pcg64>,
+}
+
+/// What becomes of a request that asks for a core.
+pub(super) enum Admission<'pool> {
+    /// It has one.
+    Core(Core<'pool>),
+    /// It waits for one.
+    Queued(QueuePlace<'pool>),
+    /// The queue is full.
+    TurnedAway,
+}
+
+impl CorePool {
+    pub fn new(options: &EndpointOptions, random: Pcg64) -> Self {
+        let started = Instant::now();
+        Self {
+            cores: options.cores,
+            queue_limit: options.queue,
+            service_time: options.service_time,
+            ramp: options.cold_ramp,
+            error_share: options.error_share,
+            started,
+            permits: Semaphore::new(options.cores as usize),
+            queued: Cell::new(0),
+            busy: Cell::new(0),
+            utilisation: Cell::new(Utilisation { average: 0.0, at: started }),
+            lateness: Cell::new(Duration::ZERO),
+            random: RefCell::new(random),
+        }
+    }
+
+    /// Gives a request a core or a place in the queue, or turns it away.
+    pub fn admit(&self) -> Admission<'_> {
+        if let Ok(permit) = self.permits.try_acquire() {
+            return Admission::Core(Core::occupy(self, permit));
+        }
+        if self.queued.get() >= self.queue_limit {
+            return Admission::TurnedAway;
+        }
+        self.queued.set(self.queued.get() + 1);
+        Admission::Queued(QueuePlace { pool: self })
+    }
+
+    /// Whether the next answer is an error.
+    pub fn draw_error(&self) -> bool {
+        self.error_share > 0.0 && self.random.borrow_mut().random_bool(self.error_share)
+    }
+
+    /// The load now; `calls` are the calls to the next tier that are in flight.
+    pub fn load_report(&self, calls: u32) -> LoadReport {
+        self.update_utilisation();
+        LoadReport {
+            in_flight: self.busy.get() + calls,
+            queued: self.queued.get(),
+            utilisation: self.utilisation.get().average,
+        }
+    }
+
+    /// The time that work begun now takes.
+    fn draw_work_time(&self) -> Duration {
+        let milliseconds = match self.service_time {
+            ServiceTime::None => return Duration::ZERO,
+            ServiceTime::Fixed { milliseconds } => milliseconds,
+            ServiceTime::Exponential { mean_milliseconds } => {
+                let unit_exponential: f64 = Exp1.sample(&mut *self.random.borrow_mut());
+                mean_milliseconds * unit_exponential
+            }
+        };
+        let capacity = self.ramp.map_or(1.0, |ramp| ramp.capacity(self.started.elapsed()));
+        Duration::from_secs_f64(milliseconds / 1000.0 / capacity)
+    }
+
+    /// Accounts for the time since the last change of the number of busy cores.
+    fn update_utilisation(&self) {
+        let busy_share = f64::from(self.busy.get()) / f64::from(self.cores);
+        self.utilisation.set(self.utilisation.get().advanced(busy_share, Instant::now()));
+    }
+}
+
+impl ColdRamp {
+    /// The part of its full capacity that an endpoint has so long after its start.
+    fn capacity(&self, since_start: Duration) -> f64 {
+        if self.milliseconds == 0 {
+            return 1.0;
+        }
+        let warmth = since_start.as_secs_f64() * 1000.0 / self.milliseconds as f64;
+        self.from + (1.0 - self.from) * warmth.min(1.0)
+    }
+}
+
+/// A place in the queue, left when it is dropped.
+pub(super) struct QueuePlace<'pool> {
+    pool: &'pool CorePool,
+}
+
+impl<'pool> QueuePlace<'pool> {
+    /// Waits for a core; requests get theirs in the order in which they came.
+    pub async fn core(self) -> Core<'pool> {
+        let permit = self.pool.permits.acquire().await.expect("the semaphore is never closed");
+        Core::occupy(self.pool, permit)
+    }
+}
+
+impl Drop for QueuePlace<'_> {
+    fn drop(&mut self) {
+        self.pool.queued.set(self.pool.queued.get() - 1);
+    }
+}
+
+/// A core that works on a request, free again when it is dropped.
+pub(super) struct Core<'pool> {
+    pool: &'pool CorePool,
+    _permit: SemaphorePermit<'pool>,
+}
+
+impl<'pool> Core<'pool> {
+    fn occupy(pool: &'pool CorePool, permit: SemaphorePermit<'pool>) -> Self {
+        pool.update_utilisation();
+        pool.busy.set(pool.busy.get() + 1);
+        Self { pool, _permit: permit }
+    }
+
+    /// Works on the request. Timers fire at whole milliseconds, always late; the lateness of one work is taken off
+    /// the next ones, so that the mean is right, and with it the endpoint's capacity.
+    pub async fn work(&self) {
+        let drawn = self.pool.draw_work_time();
+        let carried = drawn.min(self.pool.lateness.get());
+        self.pool.lateness.set(self.pool.lateness.get() - carried);
+        let planned = drawn - carried;
+        if planned.is_zero() {
+            return;
+        }
+        let begun = Instant::now();
+        tokio::time::sleep(planned).await;
+        let late = begun.elapsed().saturating_sub(planned).min(LONGEST_CARRIED_LATENESS);
+        self.pool.lateness.set(self.pool.lateness.get() + late);
+    }
+}
+
+impl Drop for Core<'_> {
+    fn drop(&mut self) {
+        self.pool.update_utilisation();
+        self.pool.busy.set(self.pool.busy.get() - 1);
+    }
+}
+
+/// An exponentially weighted average over time of the share of cores that are busy.
+#[derive(Clone, Copy)]
+struct Utilisation {
+    average: f64,
+    at: Instant,
+}
+
+impl Utilisation {
+    /// The average at a later time, when so many cores were busy since.
+    fn advanced(self, busy_share: f64, now: Instant) -> Self {
+        let elapsed = now.saturating_duration_since(self.at);
+        let kept = (-elapsed.as_secs_f64() / UTILISATION_TIME_CONSTANT.as_secs_f64()).exp();
+        Self { average: busy_share + (self.average - busy_share) * kept, at: now }
+    }
+}
+
+/// An endpoint's load, as its answers and probes tell it.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LoadReport {
+    in_flight: u32,
+    queued: u32,
+    utilisation: f64,
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { in_flight, queued, utilisation } = self;
+        write!(formatter, "TEXT inflight={in_flight}, queue={queued}, util={utilisation:.2}")
+    }
+}
