--- a/lab/src/caller/mod.rs
+++ b/lab/src/caller/mod.rs
@@ -20,7 +20,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-/// The longest latency that is told apart; the callers' longest wait is below it.
+/// The longest latency that is told apart; longer ones count as this.
 const LONGEST_LATENCY: Duration = Duration::from_secs(60);
 /// Significant decimal digits of latencies.
 const SIGNIFICANT_DIGITS: u8 = 3;
