--- a/lab/src/scenario/latency.rs
+++ b/lab/src/scenario/latency.rs
@@ -9,6 +9,7 @@
 use crate::discovery::{DiscoveryServer, EndpointEntry};
 use crate::endpoint::EndpointHandle;
 use crate::experiment::AddedLatency;
+use crate::measure::ProcessUsage;
 use std::io;
 use std::net::SocketAddr;
 use std::thread;
@@ -35,11 +36,17 @@
         add_figures(&mut series, *rate, &measured);
         problems.extend(find_problems(*rate, &measured));
     }
+    add_notes(&mut series);
+    Ok(Findings { figures: series.with_slopes(), problems })
+}
+
+fn add_notes(series: &mut Series) {
+    series.note("through p99.9", "The longest one where fewer than 1,000 calls were measured.");
     series.note(
         "processor time a call",
         "Over warm-up and measurement, divided by the attempts that the sidecar made.",
     );
-    Ok(Findings { figures: series.with_slopes(), problems })
+    series.note("resident memory", "It grows with the connections that are open, which `descriptors` tells.");
 }
 
 /// What was measured at one rate.
@@ -51,7 +58,7 @@
     processor_time: Duration,
     attempts: u64,
     connections: u64,
-    resident_bytes: u64,
+    usage: ProcessUsage,
 }
 
 /// The same rate straight to an endpoint and through the sidecar, there perhaps parted over two classes.
@@ -103,7 +110,7 @@
         processor_time: usage.processor_time.saturating_sub(usage_before.processor_time),
         attempts: single.figure("upstream_requests")?.saturating_sub(attempts_before),
         connections: single.endpoint_connections().saturating_sub(connections_before),
-        resident_bytes: usage.resident_bytes,
+        usage,
     })
 }
 
@@ -174,7 +181,9 @@
     let microseconds = measured.processor_time.as_secs_f64() * 1e6;
     series.add("processor time a call", "µs", rate, microseconds / attempts);
     series.add("connections opened to endpoints a call", "1", rate, measured.connections as f64 / attempts);
-    series.add("resident memory", "MB", rate, measured.resident_bytes as f64 / 1e6);
+    series.add("resident memory", "MB", rate, measured.usage.resident_bytes as f64 / 1e6);
+    series.add("descriptors", "1", rate, measured.usage.descriptors as f64);
+    series.add("connections that callers opened", "1", rate, measured.through.connections as f64);
 }
 
 fn find_problems(rate: f64, measured: &Measured) -> Vec<String> {
--- a/lab/src/scenario/series.rs
+++ b/lab/src/scenario/series.rs
@@ -3,6 +3,9 @@
 use crate::measure::{Point, Slope};
 use crate::report::Figure;
 
+/// The fewest measurements of which a line can leave something unexplained.
+const FEWEST_POINTS: usize = 3;
+
 /// Figures over one kind of size, in the order in which they were first added.
 pub(super) struct Series {
     size_unit: &'static str,
@@ -39,9 +42,9 @@
         }
     }
 
-    /// The figures, each with the line through its measurements.
+    /// The figures, each with the line through its measurements where there are enough of them.
     pub(super) fn with_slopes(mut self) -> Vec<Figure> {
-        for figure in &mut self.figures {
+        for figure in self.figures.iter_mut().filter(|figure| figure.points.len() >= FEWEST_POINTS) {
             figure.slope = Slope::fit(&figure.points);
         }
         self.figures
