Move the discovery client into the library, generic over who takes its lists

Change: src/discovery/ is public as passproxy::discovery: the messages (list.rs), calls and watches (client.rs), and the trait ListConsumer, which the sidecar's Handle implements. Failures are a typed DiscoveryError in place of boxed errors, with the same words in the log; a list that is over its length limit is now called too long there wherever it comes from. Source's turn is its generation. Two provided methods, watch_ended and fetch_failed, let a consumer count failures; the sidecar leaves them empty. Constants, pauses and the order of calls are as they were.

--- a/src/bin/rowanway/config.rs
+++ b/src/bin/rowanway/config.rs
@@ -1,7 +1,7 @@
 //! What this sidecar is told at its start, and again on SIGHUP: the file that `ROUTER_CONFIG` names.
 
-use crate::discovery::EndpointList;
 use passproxy::api::Settings;
+use passproxy::discovery::EndpointList;
 use passproxy::wire;
 use serde::{Deserialize, Deserializer, Serialize, de::Error as _};
 use serde_json::value::{RawValue, Value};
--- a/src/bin/rowanway/main.rs
+++ b/src/bin/rowanway/main.rs
@@ -14,7 +14,6 @@
 mod counters;
 mod descriptors;
 mod dial;
-mod discovery;
 mod endpoints;
 mod inbound;
 mod node;
--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -7,15 +7,16 @@
 use crate::config::{Config, Fixed};
 use crate::counters::{self, Counters, Figures};
 use crate::descriptors::{Bodies, Descriptors};
-use crate::discovery::{self, EndpointList, Source};
 use crate::endpoints::{self, Answered, Ending, Forward, Link, Order, Place, Pool};
 use crate::server::{self, Callers};
 use crate::upgrade::{self, Folder, Twins, Word};
 use passproxy::api::*;
 use passproxy::choice::{Balancer, Census};
+use passproxy::discovery::{self, EndpointList, Entry, ListConsumer, OlderList, Source};
 use serde_json::Value;
 use std::cell::{RefCell, RefMut};
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -207,7 +208,7 @@
             told_older: false,
             open: HashMap::new(),
             unanswered: 0,
-            discovery: Source { address: config.discovery, turn: 0 },
+            discovery: Source { address: config.discovery, generation: 0 },
             watch: None,
             watch_before: None,
             last_answer: None,
@@ -257,7 +258,8 @@
         node.figures.reloads += 1;
         let moved = config.discovery != node.discovery.address;
         if moved {
-            node.discovery = Source { address: config.discovery, turn: node.discovery.turn + 1 };
+            let generation = node.discovery.generation + 1;
+            node.discovery = Source { address: config.discovery, generation };
             // One that had not spoken yet gives way; who was listened to before it still is.
             let spoke = node.version.take().is_some();
             let watch = node.watch.take();
@@ -481,24 +483,56 @@
 
     // ---- Endpoints ---------------------------------------------------------------------------------------
 
-    /// The version that a source's changes may follow on.
-    pub fn list_version(&self, source: Source) -> Option<u64> {
+    fn learn(&self, list: EndpointList, news: News) {
+        let mut listings: Vec<Listing> = list.endpoints.iter().map(Entry::listing).collect();
+        let mut node = self.borrow();
+        let Node { members, pool, .. } = &mut *node;
+        if news != News::Delta {
+            // Missing from a whole list is gone.
+            let listed: HashSet<&EndpointId> = listings.iter().map(|l| &l.endpoint).collect();
+            for (endpoint, _) in members.extract_if(|e, _| !listed.contains(e)) {
+                pool.close_idle(&endpoint);
+            }
+        }
+        for (entry, listing) in list.endpoints.iter().zip(&listings) {
+            let ready = listing.readiness == Readiness::Up;
+            let draining = listing.readiness == Readiness::Draining;
+            let member = Member { address: entry.address, ready, draining, up_since: listing.up_since };
+            let same = |m: &Member| m.address == entry.address && m.up_since == listing.up_since;
+            if !ready || !members.get(&listing.endpoint).is_some_and(same) {
+                pool.close_idle(&listing.endpoint);
+            }
+            if listing.readiness == Readiness::Gone {
+                members.remove(&listing.endpoint);
+            } else {
+                members.insert(listing.endpoint.clone(), member);
+            }
+        }
+        for replaced in replaced(members) {
+            members.remove(&replaced);
+            pool.close_idle(&replaced);
+            listings.retain(|l| l.endpoint != replaced);
+            listings.push(gone(replaced));
+        }
+        drop(node);
+        self.tell(Event::Members { version: list.index, news, entries: listings.into() });
+    }
+}
+
+impl ListConsumer for Handle {
+    fn held_version(&self, source: Source) -> Option<u64> {
         let node = self.borrow();
         node.version.filter(|_| source == node.discovery)
     }
 
-    /// Discovery has sent the whole list, or what has changed.
-    ///
-    /// # Errors
-    /// It is older than what was told before: then nothing of it is taken. A discovery that was set back tells its whole
-    /// list again when it is asked again, which is believed.
-    pub fn news(&self, source: Source, mut list: EndpointList) -> Result<(), &'static str> {
+    /// A discovery that was set back tells its whole list again when it is asked again, which is believed.
+    fn list_received(&self, source: Source, mut list: EndpointList) -> Result<(), OlderList> {
         let mut node = self.borrow();
         if source == node.discovery {
             let is_older = node.version.is_some_and(|version| list.index < version);
             if is_older && !(list.snapshot && node.told_older) {
                 node.told_older = list.snapshot;
-                return Err("it tells what is older than what it told before");
+                return Err(OlderList);
             }
             node.told_older = false;
             node.listens_until = None;
@@ -523,16 +557,16 @@
         Ok(())
     }
 
-    /// A watch is open. That is no less than word that nothing has changed, which may not come before the first change.
-    pub fn follows(&self, source: Source) {
-        let version = self.list_version(source);
+    /// That is no less than word that nothing has changed, which may not come before the first change.
+    fn watch_opened(&self, source: Source) {
+        let version = self.held_version(source);
         if let Some(version) = version {
             self.tell(Event::Members { version, news: News::Delta, entries: Arc::from([]) });
         }
     }
 
-    /// Asking failed, or the watch was lost. That of a discovery that is no longer asked was to be.
-    pub fn news_failed(&self, source: Source) {
+    /// That of a discovery that is no longer asked was to be.
+    fn discovery_failed(&self, source: Source) {
         let mut node = self.borrow();
         if source == node.discovery {
             node.watch = None;
@@ -542,39 +576,8 @@
         }
     }
 
-    fn learn(&self, list: EndpointList, news: News) {
-        let mut listings: Vec<Listing> = list.endpoints.iter().map(discovery::Entry::listing).collect();
-        let mut node = self.borrow();
-        let Node { members, pool, .. } = &mut *node;
-        if news != News::Delta {
-            // Missing from a whole list is gone.
-            let listed: HashSet<&EndpointId> = listings.iter().map(|l| &l.endpoint).collect();
-            for (endpoint, _) in members.extract_if(|e, _| !listed.contains(e)) {
-                pool.close_idle(&endpoint);
-            }
-        }
-        for (entry, listing) in list.endpoints.iter().zip(&listings) {
-            let ready = listing.readiness == Readiness::Up;
-            let draining = listing.readiness == Readiness::Draining;
-            let member = Member { address: entry.address, ready, draining, up_since: listing.up_since };
-            let same = |m: &Member| m.address == entry.address && m.up_since == listing.up_since;
-            if !ready || !members.get(&listing.endpoint).is_some_and(same) {
-                pool.close_idle(&listing.endpoint);
-            }
-            if listing.readiness == Readiness::Gone {
-                members.remove(&listing.endpoint);
-            } else {
-                members.insert(listing.endpoint.clone(), member);
-            }
-        }
-        for replaced in replaced(members) {
-            members.remove(&replaced);
-            pool.close_idle(&replaced);
-            listings.retain(|l| l.endpoint != replaced);
-            listings.push(gone(replaced));
-        }
-        drop(node);
-        self.tell(Event::Members { version: list.index, news, entries: listings.into() });
+    fn log(&self, line: fmt::Arguments<'_>) {
+        log!("{line}");
     }
 }
 
--- /dev/null
+++ b/src/discovery/client.rs
@@ -0,0 +1,154 @@
+//! Calls of discovery and watches on it, each on a connection of its own.
+
+use super::{DiscoveryError, EndpointList, ListConsumer, Source};
+use crate::api::DISCOVERY_TIMEOUT;
+use bytes::{Buf, Bytes, BytesMut};
+use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::{Request, StatusCode, header};
+use hyper_util::rt::TokioIo;
+use std::error::Error;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, timeout, timeout_at};
+
+/// Pause before a pushed list's agent is called again: nobody else decides on it there.
+const AGENT_PAUSE: Duration = Duration::from_millis(300);
+/// The longest list taken, or word of changes, in bytes. The largest fleets need a fiftieth of it.
+const LONGEST_LIST: usize = 4 << 20;
+/// The path of the whole list.
+const LIST_PATH: &str = "/v1/endpoints";
+
+/// Follows the changes after version `since` until the watch fails, which the consumer is then told: when to ask
+/// again is the decision module's business.
+pub async fn watch<C: ListConsumer>(consumer: C, source: Source, since: Option<u64>) {
+    let failure = follow(&consumer, source, since).await;
+    consumer.watch_ended(source, &failure);
+    consumer.log(format_args!("the watch on discovery ended: {failure}"));
+    consumer.discovery_failed(source);
+}
+
+/// Follows an agent that pushes lists, without end. It costs nothing to call again, and says nothing while discovery
+/// is down, so neither is told to the consumer.
+pub async fn follow_agent<C: ListConsumer>(consumer: C, source: Source) {
+    loop {
+        let failure = follow(&consumer, source, consumer.held_version(source)).await;
+        consumer.watch_ended(source, &failure);
+        if !matches!(failure, DiscoveryError::TimedOut(_)) {
+            consumer.log(format_args!("the watch on discovery's agent ended: {failure}"));
+        }
+        sleep(AGENT_PAUSE).await;
+    }
+}
+
+/// Asks for the whole list once.
+pub async fn fetch<C: ListConsumer>(consumer: C, source: Source) {
+    let received = match whole_list(source).await {
+        Ok(list) => consumer.list_received(source, list).map_err(DiscoveryError::from),
+        Err(failure) => Err(failure),
+    };
+    if let Err(failure) = received {
+        consumer.fetch_failed(source, &failure);
+        consumer.log(format_args!("discovery gave no list: {failure}"));
+        consumer.discovery_failed(source);
+    }
+}
+
+async fn whole_list(source: Source) -> Result<EndpointList, DiscoveryError> {
+    let body = ask(source.address, LIST_PATH).await?;
+    let body = timeout(DISCOVERY_TIMEOUT, Limited::new(body, LONGEST_LIST).collect()).await?;
+    let body = body.map_err(limited_body_error)?;
+    Ok(serde_json::from_slice(&body.to_bytes())?)
+}
+
+/// What went wrong with a body of limited length: its connection broke, or it is too long.
+fn limited_body_error(failure: Box<dyn Error + Send + Sync>) -> DiscoveryError {
+    match failure.downcast::<hyper::Error>() {
+        Ok(broken) => DiscoveryError::Http(*broken),
+        Err(_) => DiscoveryError::TooLong,
+    }
+}
+
+async fn follow<C: ListConsumer>(consumer: &C, source: Source, since: Option<u64>) -> DiscoveryError {
+    match open_watch(consumer, source, since).await {
+        Ok(body) => read_watch(consumer, source, body).await.err().unwrap_or(DiscoveryError::Closed),
+        Err(failure) => failure,
+    }
+}
+
+/// Without a version to go on from it asks for the whole list first: a watch from version 0 may hold just the
+/// changes that this discovery still remembers.
+async fn open_watch<C: ListConsumer>(
+    consumer: &C,
+    source: Source,
+    since: Option<u64>,
+) -> Result<Incoming, DiscoveryError> {
+    let since = match since {
+        Some(since) => since,
+        None => {
+            let list = whole_list(source).await?;
+            let since = list.index;
+            consumer.list_received(source, list)?;
+            since
+        }
+    };
+    let body = ask(source.address, &format!("{LIST_PATH}?follow=1&since={since}")).await?;
+    consumer.watch_opened(source);
+    Ok(body)
+}
+
+/// Reads a watch's lists until it ends.
+async fn read_watch<C: ListConsumer>(
+    consumer: &C,
+    source: Source,
+    mut body: Incoming,
+) -> Result<(), DiscoveryError> {
+    let mut unread = BytesMut::new();
+    // Beats do not put it off while half a list is unread, whose rest may never come.
+    let mut silent_from = Instant::now();
+    while let Some(frame) = timeout_at(silent_from + DISCOVERY_TIMEOUT, body.frame()).await? {
+        let Ok(data) = frame?.into_data() else { continue };
+        unread.extend_from_slice(&data);
+        // Whole objects are read as they come, whichever way they are broken into lines and pieces.
+        let mut lists = serde_json::Deserializer::from_slice(&unread).into_iter::<EndpointList>();
+        let mut read = 0;
+        while let Some(list) = data.contains(&b'}').then(|| lists.next()).flatten() {
+            match list {
+                Err(e) if e.is_eof() => break,
+                list => consumer.list_received(source, list?)?,
+            }
+            read = lists.byte_offset();
+        }
+        unread.advance(read);
+        if unread.iter().all(u8::is_ascii_whitespace) {
+            unread.clear();
+        }
+        if read > 0 || unread.is_empty() {
+            silent_from = Instant::now();
+        }
+        if unread.len() > LONGEST_LIST {
+            return Err(DiscoveryError::TooLong);
+        }
+    }
+    Ok(())
+}
+
+/// One call of discovery on a connection of its own.
+async fn ask(address: SocketAddr, path: &str) -> Result<Incoming, DiscoveryError> {
+    timeout(DISCOVERY_TIMEOUT, call(address, path)).await?
+}
+
+async fn call(address: SocketAddr, path: &str) -> Result<Incoming, DiscoveryError> {
+    let stream = TcpStream::connect(address).await.map_err(DiscoveryError::Connect)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    // Ends with the call: once the body or its reader is gone, and the sender with it.
+    tokio::task::spawn_local(connection);
+    let request = Request::get(path).header(header::HOST, address.to_string());
+    let response = sender.send_request(request.body(Empty::<Bytes>::new())?).await?;
+    match response.status() {
+        StatusCode::OK => Ok(response.into_body()),
+        status => Err(DiscoveryError::Status(status)),
+    }
+}
--- /dev/null
+++ b/src/discovery/list.rs
@@ -0,0 +1,77 @@
+//! Discovery's messages.
+
+use crate::api::{CellId, Listing, Moment, Readiness};
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// One message of discovery: the whole list, or what has changed.
+#[derive(Clone, Debug, Deserialize)]
+pub struct EndpointList {
+    /// Its version.
+    pub index: u64,
+    /// It is the whole list.
+    pub snapshot: bool,
+    /// The endpoints in it.
+    pub endpoints: Vec<Entry>,
+}
+
+/// An endpoint in discovery's form.
+#[derive(Clone, Debug, Deserialize)]
+pub struct Entry {
+    /// Its name, identical at every sidecar.
+    pub name: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: String,
+    /// What sort of machine it is.
+    #[serde(rename = "type")]
+    pub kind: String,
+    /// The group of endpoints that it belongs to.
+    pub group: u64,
+    /// Whether it takes work.
+    pub status: Status,
+    /// Its weight.
+    pub weight: f64,
+    /// Its last start in Unix time; 0 for long ago.
+    pub since_ms: u64,
+}
+
+/// Whether an endpoint takes work, as discovery lists it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum Status {
+    /// It does.
+    Serving,
+    /// It finishes what it has.
+    Draining,
+    /// It is no more; among changes only.
+    Deleted,
+}
+
+impl Entry {
+    /// It does not serve again under the same start.
+    pub fn go_on_draining(&mut self) {
+        if self.status == Status::Serving {
+            self.status = Status::Draining;
+        }
+    }
+
+    /// The entry as the decision module knows it, on a clock that gives Unix time: starts need no mapping then.
+    pub fn listing(&self) -> Listing {
+        Listing {
+            endpoint: self.name.as_str().into(),
+            zone: self.zone.as_str().into(),
+            kind: self.kind.as_str().into(),
+            cell: CellId(self.group),
+            readiness: match self.status {
+                Status::Serving => Readiness::Up,
+                Status::Draining => Readiness::Draining,
+                Status::Deleted => Readiness::Gone,
+            },
+            size: self.weight,
+            up_since: (self.since_ms > 0)
+                .then(|| Moment::from_nanos(self.since_ms.saturating_mul(1_000_000))),
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,7 +1,8 @@
 //! A load balancer's decisions for services that call services: sans I/O, one instance per caller.
 //!
 //! The interface is in [`api`], every decision in [`choice`], the simulator's wire in [`wire`]. A host feeds
-//! events to [`choice::Balancer::handle`] and carries out the actions that come back, in order.
+//! events to [`choice::Balancer::handle`] and carries out the actions that come back, in order. [`discovery`] is
+//! no part of the decisions: it is the client that hosts with real sockets share.
 //!
 //! ```
 //! use passproxy::api::*;
@@ -45,5 +46,6 @@
 
 pub mod api;
 pub mod choice;
+pub mod discovery;
 mod state;
 pub mod wire;
