Run hollow sidecars: the real module and discovery client, calls answered in memory

Change: HollowFleet hosts sidecars on threads with a runtime each; every sidecar is a decision module over the library's discovery client on real sockets, with a set of local tasks that ends with it. Calls arrive as a Poisson process; attempts and probes are answered in memory after exponentially distributed service times, and time out or cannot connect where an endpoint's machine has vanished. Each sidecar notes itself when it was told a version, was ready and had an open watch, so that waits do not depend on how often they look.

--- /dev/null
+++ b/lab/src/sidecar/hollow/attempts.rs
@@ -0,0 +1,96 @@
+//! Attempts and probes that are answered in memory.
+
+use super::FleetState;
+use super::endpoints::SimulatedEndpoint;
+use super::member::MemberHandle;
+use passproxy::api::{AttemptNo, EndpointId, Moment, Outcome, Report, Reporting, RequestId};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, sleep_until};
+
+/// How long an endpoint takes to answer a probe.
+const PROBE_ANSWER_TIME: Duration = Duration::from_millis(1);
+/// A probe that is not answered for this long has failed, as at the real sidecar.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// An attempt to be made.
+pub(super) struct Attempt {
+    pub request: RequestId,
+    pub number: AttemptNo,
+    pub endpoint: Arc<SimulatedEndpoint>,
+    /// The sidecar waits until then.
+    pub until: Instant,
+    pub connect_timeout: Duration,
+    /// What the endpoint takes.
+    pub service_time: Duration,
+    pub reporting: Reporting,
+}
+
+/// A probe to be made.
+pub(super) struct Probe {
+    pub endpoint: EndpointId,
+    pub simulated: Arc<SimulatedEndpoint>,
+    /// Which of the endpoint's processes it is meant for.
+    pub up_since: Option<Moment>,
+    pub connect_timeout: Duration,
+    pub reporting: Reporting,
+}
+
+/// How an attempt or a probe ended.
+pub(super) struct Ending {
+    pub outcome: Outcome,
+    pub report: Option<Report>,
+}
+
+impl Ending {
+    fn without_answer(outcome: Outcome) -> Self {
+        Ending { outcome, report: None }
+    }
+}
+
+/// Makes an attempt and tells the sidecar how it ended.
+pub(super) async fn attempt(member: MemberHandle, fleet: Arc<FleetState>, attempt: Attempt) {
+    let ending = attempt.answer(&fleet).await;
+    member.attempt_ended(&attempt.request, attempt.number, ending);
+}
+
+impl Attempt {
+    async fn answer(&self, fleet: &FleetState) -> Ending {
+        let begun = Instant::now();
+        if self.endpoint.is_unreachable() {
+            sleep_until(self.until.min(begun + self.connect_timeout)).await;
+            return Ending::without_answer(Outcome::ConnectFailed);
+        }
+        fleet.endpoints.count_attempt(&self.endpoint, fleet.counters.second());
+        let losses = self.endpoint.losses();
+        let in_flight = self.endpoint.begin();
+        let finished = begun + self.service_time;
+        sleep_until(finished.min(self.until)).await;
+        drop(in_flight);
+        if finished > self.until || self.endpoint.losses() != losses {
+            sleep_until(self.until).await;
+            return Ending::without_answer(Outcome::TimedOut);
+        }
+        let reports = self.reporting == Reporting::WithAnswers;
+        Ending { outcome: Outcome::Served, report: reports.then(|| self.endpoint.report()) }
+    }
+}
+
+/// Makes a probe and tells the sidecar how it ended.
+pub(super) async fn probe(member: MemberHandle, probe: Probe) {
+    let sent = Instant::now();
+    let ending = probe.answer().await;
+    member.probe_ended(&probe, sent.elapsed(), ending);
+}
+
+impl Probe {
+    async fn answer(&self) -> Ending {
+        if self.simulated.is_unreachable() {
+            sleep(self.connect_timeout.min(PROBE_TIMEOUT)).await;
+            return Ending::without_answer(Outcome::ConnectFailed);
+        }
+        sleep(PROBE_ANSWER_TIME).await;
+        let reports = self.reporting != Reporting::Off;
+        Ending { outcome: Outcome::Served, report: reports.then(|| self.simulated.report()) }
+    }
+}
--- /dev/null
+++ b/lab/src/sidecar/hollow/calls.rs
@@ -0,0 +1,112 @@
+//! Callers of a hollow sidecar: when calls arrive, and those that are open.
+
+use super::member::MemberHandle;
+use super::task::Task;
+use passproxy::api::{AttemptNo, Moment, RequestId};
+use std::collections::HashMap;
+use std::time::Duration;
+use tokio::time::{Instant, sleep_until};
+
+/// The longest pause between two calls, so that no sum overflows.
+const LONGEST_GAP: Duration = Duration::from_secs(3600);
+
+/// Makes calls without end, as a Poisson process: whether earlier ones were answered makes no difference.
+pub(super) async fn arrivals(member: MemberHandle) {
+    let mut due = Instant::now();
+    while let Some(gap) = member.time_to_next_call() {
+        due += gap.min(LONGEST_GAP);
+        sleep_until(due).await;
+        member.call();
+    }
+}
+
+/// The calls of a sidecar that are unanswered or have attempts out.
+#[derive(Default)]
+pub(super) struct OpenCalls(HashMap<RequestId, OpenCall>);
+
+struct OpenCall {
+    deadline: Moment,
+    is_answered: bool,
+    attempts: Vec<OpenAttempt>,
+}
+
+struct OpenAttempt {
+    sent: Moment,
+    /// Gone once the attempt has ended.
+    task: Option<Task>,
+}
+
+/// What is to be known of a call before an attempt of it.
+pub(super) struct NextAttempt {
+    pub number: AttemptNo,
+    pub deadline: Moment,
+    pub call_is_answered: bool,
+}
+
+/// An attempt that has just ended.
+pub(super) struct EndedAttempt {
+    /// Since when it was out.
+    pub sent: Moment,
+    /// Its call has its final answer.
+    pub call_is_answered: bool,
+}
+
+impl OpenCalls {
+    pub fn insert(&mut self, request: RequestId, deadline: Moment) {
+        self.0.insert(request, OpenCall { deadline, is_answered: false, attempts: Vec::new() });
+    }
+
+    pub fn unanswered(&self) -> u64 {
+        self.0.values().map(|call| u64::from(!call.is_answered)).sum()
+    }
+
+    /// The next attempt of a call, if the call is open.
+    pub fn next_attempt(&self, request: &RequestId) -> Option<NextAttempt> {
+        let call = self.0.get(request)?;
+        Some(NextAttempt {
+            number: call.attempts.len(),
+            deadline: call.deadline,
+            call_is_answered: call.is_answered,
+        })
+    }
+
+    /// Adds a call's next attempt; one without a task has ended already.
+    pub fn begin_attempt(&mut self, request: &RequestId, sent: Moment, task: Option<Task>) {
+        if let Some(call) = self.0.get_mut(request) {
+            call.attempts.push(OpenAttempt { sent, task });
+        }
+    }
+
+    /// Ends an attempt, unless it has ended before. The first one that was served answers its call.
+    pub fn end_attempt(
+        &mut self,
+        request: &RequestId,
+        attempt: AttemptNo,
+        served: bool,
+    ) -> Option<EndedAttempt> {
+        let call = self.0.get_mut(request)?;
+        let open = call.attempts.get_mut(attempt)?;
+        open.task.take()?;
+        let sent = open.sent;
+        Some(EndedAttempt { sent, call_is_answered: call.is_answered || served })
+    }
+
+    /// Answers a call; false if it was answered before.
+    pub fn answer(&mut self, request: &RequestId) -> bool {
+        match self.0.get_mut(request) {
+            Some(call) if !call.is_answered => {
+                call.is_answered = true;
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Kept as long as the decision module keeps it: until it is answered and none of its attempts is out.
+    pub fn forget_if_over(&mut self, request: &RequestId) {
+        let is_over = |call: &OpenCall| call.is_answered && call.attempts.iter().all(|a| a.task.is_none());
+        if self.0.get(request).is_some_and(is_over) {
+            self.0.remove(request);
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/sidecar/hollow/clock.rs
@@ -0,0 +1,32 @@
+//! The clock of a hollow sidecar's decision module.
+
+use passproxy::api::Moment;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// The longest time ahead that a timer is set for, so that no sum overflows.
+const LONGEST_TIMER: Duration = Duration::from_secs(3600);
+
+/// One monotonic clock: Unix time at its start, and what has passed since. Starts of endpoints, which discovery gives
+/// in Unix time, are moments of it as they stand.
+#[derive(Clone, Copy)]
+pub(super) struct Clock {
+    started: Instant,
+    started_at: Moment,
+}
+
+impl Clock {
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { started: Instant::now(), started_at: Moment::default() + unix }
+    }
+
+    pub fn now(&self) -> Moment {
+        self.started_at + self.started.elapsed()
+    }
+
+    /// When the runtime's timers reach a moment.
+    pub fn instant(&self, moment: Moment) -> Instant {
+        Instant::now() + moment.since(self.now()).min(LONGEST_TIMER)
+    }
+}
--- /dev/null
+++ b/lab/tests/hollow.rs
@@ -0,0 +1,242 @@
+//! Hollow fleets over the discovery service: which states they reach, and what they count.
+
+use pipittray_lab::discovery::{DiscoveryOptions, DiscoveryServer, EndpointEntry, EndpointStatus};
+use pipittray_lab::sidecar::configuration::{RequestClass, SidecarConfiguration};
+use pipittray_lab::sidecar::hollow::{Arrivals, HollowFleet, HollowLoad, HollowUsage};
+use pipittray_lab::topology::{EndpointName, ZoneName};
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+const SIDECARS: u32 = 8;
+const THREADS: usize = 2;
+/// No wait that is to succeed lasts longer.
+const LONGEST: Duration = Duration::from_secs(20);
+/// How long a state is watched that is not to come.
+const SHORT: Duration = Duration::from_millis(300);
+const LOAD: HollowLoad = HollowLoad { calls_per_second: 20.0, mean_service_time: Duration::from_millis(5) };
+
+fn zone() -> ZoneName {
+    "north".into()
+}
+
+fn discovery(endpoints: u32) -> DiscoveryServer {
+    let options = DiscoveryOptions {
+        calls_per_second: 400.0,
+        longest_wait: Duration::from_secs(2),
+        heartbeat: Duration::from_secs(1),
+        remembered_changes: 16,
+    };
+    let endpoints = (0..endpoints).map(|number| endpoint(number, EndpointStatus::Serving)).collect();
+    DiscoveryServer::start(options, &[zone()], endpoints).expect("a discovery service")
+}
+
+fn endpoint(number: u32, status: EndpointStatus) -> EndpointEntry {
+    EndpointEntry {
+        name: format!("endpoint-{number}"),
+        address: format!("127.0.0.1:{}", 20_000 + number).parse().expect("an address"),
+        zone: zone(),
+        kind: "m2".into(),
+        group: 0,
+        status,
+        weight: 1.0,
+        since_ms: 0,
+    }
+}
+
+fn configuration(number: u32, discovery: &DiscoveryServer, lists_are_pushed: bool) -> SidecarConfiguration {
+    SidecarConfiguration {
+        name: format!("sidecar-{number}"),
+        zone: zone(),
+        zones: vec![zone()],
+        number,
+        sidecars: SIDECARS,
+        tier: 0,
+        tiers: 1,
+        discovery: discovery.address(&zone()),
+        lists_are_pushed,
+        known: None,
+        classes: vec![RequestClass {
+            name: "look-up".into(),
+            is_unsafe: false,
+            worth: 1.0,
+            deadline: Duration::from_millis(300),
+        }],
+        probes: false,
+        seed: u64::from(number) + 1,
+        memory_mb: 64,
+        descriptors: 256,
+    }
+}
+
+fn fleet(discovery: &DiscoveryServer, lists_are_pushed: bool) -> HollowFleet {
+    let configurations = (0..SIDECARS).map(|n| configuration(n, discovery, lists_are_pushed)).collect();
+    HollowFleet::start(configurations, LOAD, THREADS).expect("a fleet")
+}
+
+fn assert_all_arrived(arrivals: &Arrivals) {
+    assert_eq!((arrivals.after.len(), arrivals.missing), (SIDECARS as usize, 0));
+    assert!(arrivals.after.is_sorted());
+}
+
+fn assert_none_arrived(arrivals: &Arrivals) {
+    assert_eq!((arrivals.after.len(), arrivals.missing), (0, SIDECARS as usize));
+}
+
+fn wait_until(state: &str, is_reached: impl Fn() -> bool) {
+    let give_up = Instant::now() + LONGEST;
+    while !is_reached() {
+        assert!(Instant::now() < give_up, "not reached: {state}");
+        sleep(Duration::from_millis(1));
+    }
+}
+
+fn wait_until_watching(fleet: &HollowFleet, discovery: &DiscoveryServer) {
+    assert_all_arrived(&fleet.wait_until_watching(Instant::now(), LONGEST));
+    wait_until("a watch of each", || discovery.usage().watches_open == u64::from(SIDECARS));
+}
+
+/// Waits for a moment at which no call is open, as counts add up exactly then.
+fn wait_until_calls_add_up(fleet: &HollowFleet) -> HollowUsage {
+    wait_until("every call is answered", || {
+        let usage = fleet.usage();
+        usage.calls > 0 && usage.served + usage.not_served == usage.calls
+    });
+    fleet.usage()
+}
+
+fn all_are_told(lists_are_pushed: bool) {
+    let discovery = discovery(8);
+    let started = Instant::now();
+    let fleet = fleet(&discovery, lists_are_pushed);
+    assert_all_arrived(&fleet.wait_until_ready(started, LONGEST));
+    wait_until_watching(&fleet, &discovery);
+    assert_none_arrived(&fleet.wait_for_version(2, started, SHORT));
+    for change in 0..3 {
+        let published = Instant::now();
+        let version = discovery.publish(vec![endpoint(change, EndpointStatus::Draining)]);
+        assert_eq!(version, u64::from(change) + 2);
+        assert_all_arrived(&fleet.wait_for_version(version, published, LONGEST));
+    }
+    let usage = discovery.usage();
+    assert_eq!((usage.lists, usage.watches_opened), (u64::from(SIDECARS), u64::from(SIDECARS)));
+    assert_eq!(fleet.usage().discovery_failures, 0);
+    // Had it been told before, it counts as zero.
+    let late = fleet.wait_for_version(1, Instant::now(), LONGEST);
+    assert_eq!(late.after, vec![Duration::ZERO; SIDECARS as usize]);
+}
+
+#[test]
+fn all_sidecars_get_ready_and_are_told_each_pushed_version() {
+    all_are_told(true);
+}
+
+#[test]
+fn all_sidecars_get_ready_and_are_told_each_version_that_they_asked_for() {
+    all_are_told(false);
+}
+
+#[test]
+fn calls_are_served_and_their_counts_add_up() {
+    let discovery = discovery(16);
+    let fleet = fleet(&discovery, true);
+    wait_until("100 calls are served", || fleet.usage().served >= 100);
+    let usage = wait_until_calls_add_up(&fleet);
+    assert!(usage.attempts >= usage.served, "{usage:?}");
+    assert!(usage.most_attempts_at_an_endpoint >= 1, "{usage:?}");
+    assert_eq!(usage.probes, 0);
+    let (before, seconds, after) = (fleet.usage(), fleet.timeline(), fleet.usage());
+    let calls: u64 = seconds.iter().map(|second| second.calls).sum();
+    let served: u64 = seconds.iter().map(|second| second.served).sum();
+    assert!((before.calls..=after.calls).contains(&calls));
+    assert!((before.served..=after.served).contains(&served));
+}
+
+#[test]
+fn a_sidecar_that_knows_endpoints_is_ready_while_discovery_is_down() {
+    let discovery = discovery(4);
+    discovery.begin_outage();
+    let known = Some(discovery.snapshot());
+    let configurations = (0..SIDECARS)
+        .map(|n| SidecarConfiguration { known: known.clone(), ..configuration(n, &discovery, false) })
+        .collect();
+    let fleet = HollowFleet::start(configurations, LOAD, THREADS).expect("a fleet");
+    assert_all_arrived(&fleet.wait_until_ready(Instant::now(), LONGEST));
+    assert_all_arrived(&fleet.wait_for_version(1, Instant::now(), LONGEST));
+    assert_none_arrived(&fleet.wait_until_watching(Instant::now(), SHORT));
+    wait_until("calls are served", || fleet.usage().served > 0);
+}
+
+#[test]
+fn restarted_sidecars_watch_again() {
+    let discovery = discovery(4);
+    let fleet = fleet(&discovery, true);
+    wait_until_watching(&fleet, &discovery);
+    fleet.restart(&[1, 4]);
+    assert_all_arrived(&fleet.wait_until_ready(Instant::now(), LONGEST));
+    wait_until_watching(&fleet, &discovery);
+    assert_eq!(discovery.usage().watches_opened, u64::from(SIDECARS) + 2);
+    assert_eq!(fleet.usage().discovery_failures, 0);
+    let version = discovery.publish(vec![endpoint(0, EndpointStatus::Draining)]);
+    assert_all_arrived(&fleet.wait_for_version(version, Instant::now(), LONGEST));
+    wait_until_calls_add_up(&fleet);
+}
+
+fn changes_during_an_outage_come_after_it(lists_are_pushed: bool) {
+    let discovery = discovery(4);
+    let fleet = fleet(&discovery, lists_are_pushed);
+    wait_until_watching(&fleet, &discovery);
+    discovery.begin_outage();
+    let version = discovery.publish(vec![endpoint(0, EndpointStatus::Draining)]);
+    assert_none_arrived(&fleet.wait_for_version(version, Instant::now(), SHORT));
+    assert_none_arrived(&fleet.wait_until_watching(Instant::now(), Duration::ZERO));
+    let returned = Instant::now();
+    discovery.end_outage();
+    assert_all_arrived(&fleet.wait_for_version(version, returned, LONGEST));
+    wait_until_watching(&fleet, &discovery);
+    assert!(fleet.usage().discovery_failures >= u64::from(SIDECARS));
+}
+
+#[test]
+fn a_pushed_change_during_an_outage_comes_after_it() {
+    changes_during_an_outage_come_after_it(true);
+}
+
+#[test]
+fn a_change_during_an_outage_comes_when_it_is_asked_for() {
+    changes_during_an_outage_come_after_it(false);
+}
+
+#[test]
+fn reloaded_sidecars_follow_the_discovery_that_they_are_pointed_at() {
+    let (first, second) = (discovery(4), discovery(4));
+    let fleet = fleet(&first, true);
+    wait_until_watching(&fleet, &first);
+    let moved = [0, 3, 5];
+    fleet.reload(&moved, |place| {
+        let number = u32::try_from(place).expect("a small number");
+        configuration(number, &second, true)
+    });
+    assert_all_arrived(&fleet.wait_until_watching(Instant::now(), LONGEST));
+    wait_until("watches have moved", || (first.usage().watches_open, second.usage().watches_open) == (5, 3));
+    let version = second.publish(vec![endpoint(0, EndpointStatus::Draining)]);
+    wait_until("those that moved are told", || {
+        fleet.wait_for_version(version, Instant::now(), Duration::ZERO).after.len() == moved.len()
+    });
+}
+
+#[test]
+fn calls_are_not_served_at_an_unreachable_endpoint() {
+    let discovery = discovery(1);
+    let fleet = fleet(&discovery, true);
+    wait_until("calls are served", || fleet.usage().served >= 20);
+    let only: [EndpointName; 1] = ["endpoint-0".into()];
+    fleet.set_unreachable(&only, true);
+    let not_served = fleet.usage().not_served;
+    wait_until("calls are not served", || fleet.usage().not_served >= not_served + 10);
+    let served = fleet.usage().served;
+    wait_until("further calls are not served", || fleet.usage().not_served >= not_served + 60);
+    assert_eq!(fleet.usage().served, served);
+    fleet.set_unreachable(&only, false);
+    wait_until("calls are served again", || fleet.usage().served >= served + 20);
+    wait_until_calls_add_up(&fleet);
+}
