Begin a hollow sidecar's calls when it is first ready, as callers ask for that

Need: a restarted sidecar that knew nothing yet was charged with the calls that came before its first list; callers and fronts use a sidecar once GET /ready has answered 200.

Change: arrivals begin with the first list that has an endpoint in service.

--- a/lab/src/sidecar/hollow/member.rs
+++ b/lab/src/sidecar/hollow/member.rs
@@ -50,6 +50,8 @@
     watch_before: Option<Task>,
     calls: OpenCalls,
     calls_made: u64,
+    /// Once callers have begun to call: when the sidecar is first ready, as they ask for that.
+    has_callers: bool,
     random: Pcg64,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -85,6 +87,7 @@
             watch_before: None,
             calls: OpenCalls::default(),
             calls_made: 0,
+            has_callers: false,
             random: Pcg64::seed_from_u64(seed),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -99,7 +102,6 @@
         if asks_at_once {
             member.borrow().begin_watch(&member);
         }
-        spawn_local(calls::arrivals(member.clone()));
         Ok(member)
     }
 
@@ -227,7 +229,12 @@
         let Identity { place, start } = member.identity;
         let milestones = &member.fleet.milestones[place];
         milestones.has_version(start, list.index);
-        milestones.is_ready(start, member.membership.is_ready());
+        let is_ready = member.membership.is_ready();
+        milestones.is_ready(start, is_ready);
+        if is_ready && !member.has_callers {
+            member.has_callers = true;
+            spawn_local(calls::arrivals(self.clone()));
+        }
         drop(member);
         self.tell(Event::Members { version: list.index, news, entries });
     }
--- a/lab/src/sidecar/hollow/mod.rs
+++ b/lab/src/sidecar/hollow/mod.rs
@@ -30,7 +30,7 @@
 /// The load that each hollow sidecar's callers bring, and how its endpoints answer.
 #[derive(Clone, Copy, Debug)]
 pub struct HollowLoad {
-    /// Mean calls a second; arrivals are a Poisson process.
+    /// Mean calls a second; arrivals are a Poisson process that begins when the sidecar is first ready.
     pub calls_per_second: f64,
     /// Mean of the exponentially distributed time that an endpoint takes.
     pub mean_service_time: Duration,
@@ -169,7 +169,8 @@
         }
     }
 
-    /// Has the machines of these endpoints vanish (attempts time out) or come back cold, for all sidecars.
+    /// Has the machines of these endpoints vanish (attempts time out) or come back, for all sidecars. That they come
+    /// back cold is for discovery to tell, by their last start.
     pub fn set_unreachable(&self, endpoints: &[EndpointName], unreachable: bool) {
         for endpoint in endpoints {
             let name = EndpointId::from(endpoint.as_str());
--- a/lab/tests/hollow.rs
+++ b/lab/tests/hollow.rs
@@ -166,6 +166,18 @@
     wait_until("calls are served", || fleet.usage().served > 0);
 }
 
+#[test]
+fn a_sidecar_that_knows_nothing_gets_its_first_call_once_it_is_ready() {
+    let discovery = discovery(4);
+    discovery.begin_outage();
+    let fleet = fleet(&discovery, true);
+    assert_none_arrived(&fleet.wait_until_ready(Instant::now(), SHORT));
+    assert_eq!(fleet.usage().calls, 0);
+    discovery.end_outage();
+    assert_all_arrived(&fleet.wait_until_ready(Instant::now(), LONGEST));
+    wait_until("calls are served", || fleet.usage().served > 0);
+}
+
 #[test]
 fn restarted_sidecars_watch_again() {
     let discovery = discovery(4);
