Test that attempts in flight at a vanished endpoint are not served

Change: a test with slow endpoints, of which some ten attempts are in flight as the machine vanishes.

--- a/lab/tests/hollow.rs
+++ b/lab/tests/hollow.rs
@@ -252,3 +252,18 @@
     wait_until("calls are served again", || fleet.usage().served >= served + 20);
     wait_until_calls_add_up(&fleet);
 }
+
+#[test]
+fn attempts_in_flight_as_their_machine_vanishes_are_not_served() {
+    let discovery = discovery(1);
+    let configurations = (0..SIDECARS).map(|n| configuration(n, &discovery, true)).collect();
+    let slow = HollowLoad { mean_service_time: Duration::from_millis(60), ..LOAD };
+    let fleet = HollowFleet::start(configurations, slow, THREADS).expect("a fleet");
+    wait_until("calls are served", || fleet.usage().served >= 20);
+    fleet.set_unreachable(&["endpoint-0".into()], true);
+    let HollowUsage { served, not_served, .. } = fleet.usage();
+    wait_until("calls are not served", || fleet.usage().not_served >= not_served + 60);
+    // Some ten were in flight; each thread may have been about to count one that had come back before.
+    let served_since = fleet.usage().served - served;
+    assert!(served_since <= THREADS as u64, "{served_since} were served");
+}
