Let a running discovery of the lab change its capacity, and count its queue by outage

Cause: a fleet that starts against 4 calls a second needs minutes until all watch, before anything is measured; and the longest queue after an outage could not be told from that of the start. Change: DiscoveryServer::set_calls_per_second; the longest queue counts from the last outage on.

--- a/lab/src/discovery/mod.rs
+++ b/lab/src/discovery/mod.rs
@@ -86,7 +86,7 @@
     pub rejected: u64,
     /// Calls whose caller had left before its turn came; the turn was spent all the same.
     pub abandoned: u64,
-    /// The most calls that waited at once.
+    /// The most calls that waited at once, since the start or the last outage.
     pub longest_queue: u64,
     /// Bytes of answers and watches, with their heads and chunk framing.
     pub bytes_written: u64,
@@ -161,6 +161,16 @@
         self.ask(|reply| Command::Publish { changes, reply })
     }
 
+    /// Changes how many calls it answers a second; those that wait keep their turns.
+    ///
+    /// # Errors
+    /// No calls a second.
+    pub fn set_calls_per_second(&self, calls_per_second: f64) -> io::Result<()> {
+        let time_per_call = time_per_call(calls_per_second)?;
+        self.ask(|reply| Command::SetTimePerCall { time_per_call, reply });
+        Ok(())
+    }
+
     /// Ends all connections with a reset and refuses new ones until [`DiscoveryServer::end_outage`]. Changes may be
     /// published meanwhile.
     pub fn begin_outage(&self) {
--- a/lab/src/discovery/server.rs
+++ b/lab/src/discovery/server.rs
@@ -18,6 +18,7 @@
 pub(super) enum Command {
     Snapshot { reply: SyncSender<(u64, Vec<EndpointEntry>)> },
     Publish { changes: Vec<EndpointEntry>, reply: SyncSender<u64> },
+    SetTimePerCall { time_per_call: Duration, reply: SyncSender<()> },
     BeginOutage { reply: SyncSender<()> },
     EndOutage { reply: SyncSender<io::Result<()>> },
     SetSilent { zone: ZoneName, silent: bool, reply: SyncSender<()> },
@@ -82,6 +83,10 @@
                 reply_to(&reply, (registry.version(), registry.endpoints()));
             }
             Command::Publish { changes, reply } => reply_to(&reply, self.service.publish(changes)),
+            Command::SetTimePerCall { time_per_call, reply } => {
+                self.service.set_time_per_call(time_per_call);
+                reply_to(&reply, ());
+            }
             Command::BeginOutage { reply } => {
                 self.go_down().await;
                 reply_to(&reply, ());
--- a/lab/src/discovery/service.rs
+++ b/lab/src/discovery/service.rs
@@ -80,9 +80,15 @@
         outcome
     }
 
-    /// Forgets the calls that wait.
+    /// Changes the rate at which calls are handled; those that wait keep their turns.
+    pub(super) fn set_time_per_call(&self, time_per_call: Duration) {
+        self.turns.borrow_mut().set_time_per_call(time_per_call);
+    }
+
+    /// Forgets the calls that wait, and how many did.
     pub(super) fn clear_queue(&self) {
         self.turns.borrow_mut().clear(Instant::now());
+        self.count(|usage| usage.longest_queue = 0);
     }
 
     /// Changes the counts.
--- a/lab/src/discovery/turns.rs
+++ b/lab/src/discovery/turns.rs
@@ -40,6 +40,11 @@
         Turn::At(turn)
     }
 
+    /// Changes the rate; calls that wait keep their turns.
+    pub(super) fn set_time_per_call(&mut self, time_per_call: Duration) {
+        self.time_per_call = time_per_call;
+    }
+
     /// Forgets all calls that wait.
     pub(super) fn clear(&mut self, now: Instant) {
         self.next_turn = now;
--- a/lab/tests/discovery.rs
+++ b/lab/tests/discovery.rs
@@ -279,6 +279,21 @@
     });
 }
 
+#[test]
+fn a_capacity_that_is_changed_holds_for_the_calls_that_come_after() {
+    let longest_wait = Duration::from_millis(100);
+    let server = start(DiscoveryOptions { longest_wait, ..options() });
+    let mut caller = Caller::connect(&server, 0);
+    let mut list_status = || {
+        caller.get(LIST);
+        caller.answer().0
+    };
+    assert_eq!([list_status(), list_status()], [200, 200]);
+    server.set_calls_per_second(0.01).unwrap();
+    assert_eq!([list_status(), list_status()], [200, 503]);
+    assert!(server.set_calls_per_second(0.0).is_err());
+}
+
 #[test]
 fn a_caller_that_leaves_before_its_turn_is_counted_as_abandoned() {
     let server = start(DiscoveryOptions { calls_per_second: 1.0, ..options() });
