Give hollow sidecars unequal rates of calls

Need: some sidecars of the plan get several times the mean load. Change: HollowFleet::start_with_rates takes a multiple of the mean rate for each sidecar; HollowFleet::start stays as it was, with one rate for all.

--- a/lab/src/sidecar/hollow/member.rs
+++ b/lab/src/sidecar/hollow/member.rs
@@ -173,7 +173,8 @@
     /// The time between two calls; none where no calls come.
     pub fn time_to_next_call(&self) -> Option<Duration> {
         let mut member = self.borrow();
-        let rate = member.fleet.load.calls_per_second;
+        let fleet = &member.fleet;
+        let rate = fleet.load.calls_per_second * fleet.rate_multiples[member.identity.place];
         let unit_time: f64 = member.random.sample(Exp1);
         (rate > 0.0).then(|| Duration::try_from_secs_f64(unit_time / rate).unwrap_or(Duration::MAX))
     }
--- a/lab/src/sidecar/hollow/mod.rs
+++ b/lab/src/sidecar/hollow/mod.rs
@@ -80,6 +80,8 @@
 /// What the sidecars of a fleet share: counters, and the endpoints that answer them.
 struct FleetState {
     load: HollowLoad,
+    /// What the mean rate of calls is multiplied by, for each sidecar.
+    rate_multiples: Vec<f64>,
     counters: Counters,
     endpoints: EndpointTable,
     /// One for each sidecar.
@@ -103,11 +105,26 @@
         configurations: Vec<SidecarConfiguration>,
         load: HollowLoad,
         threads: usize,
+    ) -> io::Result<Self> {
+        Self::start_with_rates(configurations, load, |_| 1.0, threads)
+    }
+
+    /// Starts a fleet in which the rate of each sidecar's calls is the load's times a multiple, by the sidecar's place
+    /// in the configurations.
+    ///
+    /// # Errors
+    /// As [`HollowFleet::start`].
+    pub fn start_with_rates(
+        configurations: Vec<SidecarConfiguration>,
+        load: HollowLoad,
+        rate_multiple: impl Fn(usize) -> f64,
+        threads: usize,
     ) -> io::Result<Self> {
         let plans = configurations.into_iter().map(|c| MemberPlan::from_configuration(c).map(Arc::new));
         let plans = plans.collect::<io::Result<Vec<_>>>()?;
         let state = Arc::new(FleetState {
             load,
+            rate_multiples: (0..plans.len()).map(rate_multiple).collect(),
             counters: Counters::start(),
             endpoints: EndpointTable::default(),
             milestones: plans.iter().map(|_| Milestones::default()).collect(),
