--- a/lab/src/scenario/failures.rs
+++ b/lab/src/scenario/failures.rs
@@ -1,8 +1,100 @@
 //! What each failure of the operators' plan costs a fleet, and for how long.
+//!
+//! One hollow sidecar stands beside each endpoint. Two things are simpler than in the plan. Sidecars beside machines
+//! that have vanished go on calling until they start again with their machines, so a lost zone costs more calls here
+//! than there. And the endpoints that can be reached are the same for all sidecars, so a region is cut off from
+//! discovery, but not from the other region's endpoints.
 
+mod cost;
+mod injection;
+
+use super::fleet::{FleetPlan, KnownEndpoints, RunningFleet, endpoint_entry};
+use super::series::Series;
 use super::{Findings, ScenarioError};
 use crate::experiment::Failures;
+use crate::fault::{Fault, Impact};
+use crate::topology::Topology;
+use cost::{FaultCost, record};
+use injection::FaultInjector;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// How long the list may take to be current everywhere after a fault's end.
+const LONGEST_UNTIL_CURRENT: Duration = Duration::from_secs(30);
+/// What every figure's sizes count.
+const FAULT_NUMBER: &str = "fault";
+
+pub(super) fn run(plan: &Failures, seed: u64) -> Result<Findings, ScenarioError> {
+    let topology = Topology::generate(&plan.topology, seed);
+    let fleet_plan = fleet_plan(plan, &topology, seed);
+    let endpoints = fleet_plan.endpoints.clone();
+    let fleet = fleet_plan.start()?;
+    let injector = FaultInjector {
+        fleet: &fleet,
+        endpoints: &endpoints,
+        duration: Duration::from_secs_f64(plan.fault_seconds),
+    };
+    let rest = Duration::from_secs_f64(plan.rest_seconds);
+
+    let mut series = Series::over(FAULT_NUMBER);
+    let mut descriptions = vec!["0: none".to_owned()];
+    record(&mut series, 0, &measure_rest(&fleet, rest));
+    for (number, fault) in (1..).zip(&plan.faults) {
+        let impact = fault.impact(&topology, seed.wrapping_add(number));
+        record(&mut series, number, &measure_fault(&injector, fault, &impact, rest));
+        descriptions.push(format!("{number}: {}", describe(fault, &impact)));
+    }
+    series.note_all(&format!("{}.", descriptions.join("; ")));
+    Ok(Findings { figures: series.without_slopes(), problems: Vec::new() })
+}
+
+/// A fleet with one sidecar for each endpoint of the topology, in the endpoint's zone.
+fn fleet_plan(plan: &Failures, topology: &Topology, seed: u64) -> FleetPlan {
+    let placements = &topology.placements;
+    let entries = (0..).zip(placements).map(|(number, placement)| {
+        endpoint_entry(placement.endpoint.to_string(), placement.zone.clone(), number)
+    });
+    FleetPlan {
+        zones: topology.zones.clone(),
+        endpoints: entries.collect(),
+        sidecar_zones: placements.iter().map(|placement| placement.zone.clone()).collect(),
+        known: KnownEndpoints::All,
+        calls_per_second: plan.calls_per_second,
+        lists_are_pushed: true,
+        capacity: plan.discovery,
+        seed,
+    }
+}
+
+/// What the fleet does while nothing fails.
+fn measure_rest(fleet: &RunningFleet, rest: Duration) -> FaultCost {
+    let from = fleet.current_second();
+    thread::sleep(rest);
+    FaultCost::over(&fleet.seconds_since(from))
+}
+
+/// What a fault costs from its start until the rest after it is over and the list is current again.
+fn measure_fault(injector: &FaultInjector, fault: &Fault, impact: &Impact, rest: Duration) -> FaultCost {
+    let fleet = injector.fleet;
+    let from = fleet.current_second();
+    let last_version = injector.inject(fault, impact);
+    let ended = Instant::now();
+    let current = fleet.sidecars.wait_for_version(last_version, ended, LONGEST_UNTIL_CURRENT);
+    thread::sleep(rest.saturating_sub(ended.elapsed()));
+    FaultCost { current: Some(current), ..FaultCost::over(&fleet.seconds_since(from)) }
+}
 
-pub(super) fn run(_plan: &Failures, _seed: u64) -> Result<Findings, ScenarioError> {
-    todo!()
+fn describe(fault: &Fault, impact: &Impact) -> String {
+    let machines = impact.endpoints.len();
+    match fault {
+        Fault::Machines { .. } => format!("{machines} machines vanish"),
+        Fault::Restarts { wave, .. } => format!("{machines} machines restart, {wave} at once"),
+        Fault::Rack => format!("a rack with {machines} machines vanishes"),
+        Fault::Zone => format!("a zone with {machines} machines vanishes, its discovery address is silent"),
+        Fault::RegionCut => format!(
+            "a region of {} zones is cut off from discovery, but not from the other region's endpoints",
+            impact.silent_zones.len()
+        ),
+        Fault::DiscoveryOutage => "discovery is down".to_owned(),
+    }
 }
--- /dev/null
+++ b/lab/src/scenario/failures/cost.rs
@@ -0,0 +1,88 @@
+//! What a fleet's timeline says of a fault.
+
+use super::LONGEST_UNTIL_CURRENT;
+use crate::scenario::fleet::add_arrivals;
+use crate::scenario::series::Series;
+use crate::sidecar::hollow::{Arrivals, HollowSecond};
+
+/// A second with a smaller share of calls not served counts as recovered.
+const RECOVERED_SHARE: f64 = 0.01;
+
+/// What a fault cost the fleet's callers, and how long its list was behind.
+#[derive(Clone, Debug, Default)]
+pub(super) struct FaultCost {
+    /// Calls, over all seconds.
+    pub calls: u64,
+    /// Calls that were refused or failed.
+    pub not_served: u64,
+    /// Attempts that were started.
+    pub attempts: u64,
+    /// The largest share of calls not served within one second.
+    pub worst_share: f64,
+    /// The most attempts beyond one for each call within one second.
+    pub worst_further_attempts: f64,
+    /// Seconds until the share was below [`RECOVERED_SHARE`] for good.
+    pub seconds_until_recovered: usize,
+    /// When each sidecar knew the fault's last change after its end.
+    pub current: Option<Arrivals>,
+}
+
+impl FaultCost {
+    /// What these seconds cost.
+    pub fn over(seconds: &[HollowSecond]) -> Self {
+        let total = |count: fn(&HollowSecond) -> u64| seconds.iter().map(count).sum();
+        let last_bad = seconds.iter().rposition(|second| share(second) >= RECOVERED_SHARE);
+        FaultCost {
+            calls: total(|second| second.calls),
+            not_served: total(|second| second.not_served),
+            attempts: total(|second| second.attempts),
+            worst_share: seconds.iter().map(share).fold(0.0, f64::max),
+            worst_further_attempts: seconds
+                .iter()
+                .map(|second| further_attempts(second.attempts, second.calls))
+                .fold(0.0, f64::max),
+            seconds_until_recovered: last_bad.map_or(0, |index| index + 1),
+            current: None,
+        }
+    }
+}
+
+/// The share of a second's calls that were not served. A call counts in the second of its end, so an end of calls
+/// that came a second earlier may exceed all.
+fn share(second: &HollowSecond) -> f64 {
+    ratio(second.not_served, second.calls).min(1.0)
+}
+
+/// Attempts beyond one, for each call. A call that was refused has none, and one that came in the last millisecond may
+/// have its first attempt in the next second, so there may seem to be fewer than none.
+fn further_attempts(attempts: u64, calls: u64) -> f64 {
+    ratio(attempts.saturating_sub(calls), calls)
+}
+
+fn ratio(part: u64, whole: u64) -> f64 {
+    part as f64 / whole.max(1) as f64
+}
+
+/// Adds a fault's cost to the figures.
+pub(super) fn record(series: &mut Series, fault: u64, cost: &FaultCost) {
+    let number = fault as f64;
+    let mut add = |name: &str, unit: &str, value: f64| series.add(name, unit, number, value);
+    add("calls", "calls", cost.calls as f64);
+    add("calls not served", "calls", cost.not_served as f64);
+    add("calls not served, share", "share", ratio(cost.not_served, cost.calls));
+    add("calls not served, share in the worst second", "share", cost.worst_share);
+    add("until less than 1 in 100 is not served", "s", cost.seconds_until_recovered as f64);
+    add("attempts", "attempts", cost.attempts as f64);
+    add("attempts beyond one", "a call", further_attempts(cost.attempts, cost.calls));
+    add("attempts beyond one in the worst second", "a call", cost.worst_further_attempts);
+    if let Some(current) = &cost.current {
+        add_arrivals(
+            series,
+            "list current after the fault's end",
+            &[("last", 1.0)],
+            number,
+            current,
+            LONGEST_UNTIL_CURRENT,
+        );
+    }
+}
--- a/lab/src/scenario/fleet.rs
+++ b/lab/src/scenario/fleet.rs
@@ -1,2 +1,221 @@
-//! What experiments with a fleet of hollow sidecars share: a discovery service with a list of endpoints, and the
-//! sidecars' configurations.
+//! What experiments with a fleet of hollow sidecars share: a discovery service with a list of endpoints, the
+//! sidecars' configurations, and their start.
+
+mod figures;
+
+pub(super) use figures::{add_arrivals, add_discovery_calls, merge};
+
+use super::ScenarioError;
+use crate::discovery::{DiscoveryOptions, DiscoveryServer, EndpointEntry, EndpointStatus};
+use crate::experiment::{DiscoveryCapacity, Fleet};
+use crate::sidecar::configuration::{RequestClass, SidecarConfiguration};
+use crate::sidecar::hollow::{HollowFleet, HollowLoad, HollowSecond};
+use crate::topology::ZoneName;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+/// Zones of a fleet whose experiment describes no topology; the plan has as many.
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+/// Time between the empty lines of an idle watch, as the protocol page has it.
+const HEARTBEAT: Duration = Duration::from_secs(2);
+/// Past changes that discovery remembers: more than any experiment publishes.
+const REMEMBERED_CHANGES: usize = 1000;
+/// Threads that drive a fleet.
+const FLEET_THREADS: usize = 2;
+/// Mean time that an endpoint takes for a call.
+const MEAN_SERVICE_TIME: Duration = Duration::from_millis(5);
+/// Each sidecar whose number is a multiple of this is a busy one,
+const BUSY_EVERY: usize = 10;
+/// with so many times the mean rate of calls.
+const BUSY_MULTIPLE: f64 = 3.0;
+/// How long a caller waits.
+const CALL_DEADLINE: Duration = Duration::from_secs(1);
+/// Memory of a sidecar in MB: the plan's limit.
+const SIDECAR_MEMORY_MB: u32 = 128;
+/// Descriptors of a sidecar.
+const SIDECAR_DESCRIPTORS: u32 = 1024;
+/// Calls that discovery answers a second until all sidecars watch; the experiment's capacity holds from then on, so
+/// that it does not take minutes to start a fleet.
+const START_CALLS_PER_SECOND: f64 = 1000.0;
+/// How long a start may take.
+const START_PATIENCE: Duration = Duration::from_secs(60);
+/// Port of all endpoints. Nobody listens there: hollow sidecars answer their calls in memory.
+const ENDPOINT_PORT: u16 = 7070;
+/// The weight of an endpoint, and the one that a change gives it.
+const WEIGHT: f64 = 1.0;
+const CHANGED_WEIGHT: f64 = 0.9;
+
+/// Whether sidecars have endpoints in their configuration before discovery has told them any.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum KnownEndpoints {
+    /// The list as it stood at the start.
+    All,
+    /// None.
+    None,
+}
+
+/// What a fleet is started from.
+#[derive(Clone, Debug)]
+pub(super) struct FleetPlan {
+    /// All zones.
+    pub zones: Vec<ZoneName>,
+    /// Discovery's list.
+    pub endpoints: Vec<EndpointEntry>,
+    /// The zone of each sidecar.
+    pub sidecar_zones: Vec<ZoneName>,
+    /// What the sidecars' configurations hold of the list.
+    pub known: KnownEndpoints,
+    /// Mean calls a second of each sidecar.
+    pub calls_per_second: f64,
+    /// Whether lists are pushed, or watched through calls that the decision module asks for.
+    pub lists_are_pushed: bool,
+    /// How discovery behaves.
+    pub capacity: DiscoveryCapacity,
+    /// Seed of all random numbers.
+    pub seed: u64,
+}
+
+impl FleetPlan {
+    /// A fleet of so many sidecars, spread over the zones as its endpoints are.
+    pub fn new(fleet: &Fleet, sidecars: u32, known: KnownEndpoints, seed: u64) -> Self {
+        let zones = ZONES.map(ZoneName::from).to_vec();
+        let zone_of = |number: u32| zones[number as usize % zones.len()].clone();
+        FleetPlan {
+            endpoints: (0..fleet.endpoints)
+                .map(|number| endpoint_entry(format!("endpoint-{number}"), zone_of(number), number))
+                .collect(),
+            sidecar_zones: (0..sidecars).map(zone_of).collect(),
+            zones,
+            known,
+            calls_per_second: fleet.calls_per_second,
+            lists_are_pushed: fleet.lists_are_pushed,
+            capacity: fleet.discovery,
+            seed,
+        }
+    }
+
+    /// Starts discovery and the sidecars, waits until all of them watch, and gives discovery its capacity.
+    ///
+    /// # Errors
+    /// Something could not be started, or a sidecar did not watch in time.
+    pub fn start(self) -> Result<RunningFleet, ScenarioError> {
+        let discovery = DiscoveryServer::start(self.discovery_options(), &self.zones, self.endpoints.clone())
+            .map_err(ScenarioError::step("starting discovery"))?;
+        let started = Instant::now();
+        let load =
+            HollowLoad { calls_per_second: self.calls_per_second, mean_service_time: MEAN_SERVICE_TIME };
+        let sidecars = HollowFleet::start_with_rates(
+            self.configurations(&discovery),
+            load,
+            rate_multiple,
+            FLEET_THREADS,
+        )
+        .map_err(ScenarioError::step("starting the hollow sidecars"))?;
+        let watching = sidecars.wait_until_watching(started, START_PATIENCE);
+        let size = self.sidecar_zones.len();
+        if watching.missing > 0 {
+            let problem = format!("{} of {size} sidecars had no watch in time", watching.missing);
+            return Err(ScenarioError::NotReached(problem));
+        }
+        discovery
+            .set_calls_per_second(self.capacity.calls_per_second)
+            .map_err(ScenarioError::step("setting discovery's capacity"))?;
+        Ok(RunningFleet { sidecars, discovery, size })
+    }
+
+    fn discovery_options(&self) -> DiscoveryOptions {
+        DiscoveryOptions {
+            calls_per_second: START_CALLS_PER_SECOND,
+            longest_wait: Duration::from_secs_f64(self.capacity.longest_wait_seconds),
+            heartbeat: HEARTBEAT,
+            remembered_changes: REMEMBERED_CHANGES,
+        }
+    }
+
+    fn configurations(&self, discovery: &DiscoveryServer) -> Vec<SidecarConfiguration> {
+        let known = match self.known {
+            KnownEndpoints::All => Some(discovery.snapshot()),
+            KnownEndpoints::None => None,
+        };
+        (0..)
+            .zip(&self.sidecar_zones)
+            .map(|(number, zone)| SidecarConfiguration {
+                name: format!("sidecar-{number}"),
+                zone: zone.clone(),
+                zones: self.zones.clone(),
+                number,
+                sidecars: self.sidecar_zones.len() as u32,
+                tier: 0,
+                tiers: 1,
+                discovery: discovery.address(zone),
+                lists_are_pushed: self.lists_are_pushed,
+                known: known.clone(),
+                classes: vec![request_class()],
+                probes: false,
+                seed: self.seed.wrapping_add(u64::from(number)),
+                memory_mb: SIDECAR_MEMORY_MB,
+                descriptors: SIDECAR_DESCRIPTORS,
+            })
+            .collect()
+    }
+}
+
+/// A fleet at work. The sidecars end before discovery does.
+pub(super) struct RunningFleet {
+    /// The sidecars.
+    pub sidecars: HollowFleet,
+    /// What they watch.
+    pub discovery: DiscoveryServer,
+    /// How many sidecars there are.
+    pub size: usize,
+}
+
+impl RunningFleet {
+    /// Publishes another weight for one endpoint, a different endpoint for each number; returns the new version.
+    pub fn publish_change(&self, number: u32) -> u64 {
+        let (_, endpoints) = self.discovery.snapshot();
+        let mut entry = endpoints[number as usize % endpoints.len()].clone();
+        entry.weight = if entry.weight == WEIGHT { CHANGED_WEIGHT } else { WEIGHT };
+        self.discovery.publish(vec![entry])
+    }
+
+    /// The present second of the sidecars' timeline.
+    pub fn current_second(&self) -> usize {
+        self.sidecars.timeline().len().saturating_sub(1)
+    }
+
+    /// The timeline from this second on, up to the present one, which is not over yet.
+    pub fn seconds_since(&self, from: usize) -> Vec<HollowSecond> {
+        let mut seconds = self.sidecars.timeline();
+        seconds.pop();
+        seconds.split_off(from.min(seconds.len()))
+    }
+}
+
+/// A serving endpoint of long ago, at an address of its own that nobody listens at.
+pub(super) fn endpoint_entry(name: String, zone: ZoneName, number: u32) -> EndpointEntry {
+    let [_, _, high, low] = number.to_be_bytes();
+    EndpointEntry {
+        name,
+        address: SocketAddr::from((Ipv4Addr::new(127, 1, high, low), ENDPOINT_PORT)),
+        zone,
+        kind: "m1".to_owned(),
+        group: 0,
+        status: EndpointStatus::Serving,
+        weight: WEIGHT,
+        since_ms: 0,
+    }
+}
+
+fn request_class() -> RequestClass {
+    RequestClass { name: "safe".to_owned(), is_unsafe: false, worth: 1.0, deadline: CALL_DEADLINE }
+}
+
+/// What the mean rate is multiplied by for a sidecar; the multiples of ten sidecars in a row add up to ten.
+fn rate_multiple(sidecar: usize) -> f64 {
+    if sidecar.is_multiple_of(BUSY_EVERY) {
+        return BUSY_MULTIPLE;
+    }
+    let every = BUSY_EVERY as f64;
+    (every - BUSY_MULTIPLE) / (every - 1.0)
+}
--- /dev/null
+++ b/lab/src/scenario/fleet/figures.rs
@@ -0,0 +1,72 @@
+//! What a fleet's arrivals and its calls of discovery add to the figures.
+
+use crate::discovery::DiscoveryUsage;
+use crate::scenario::series::Series;
+use crate::sidecar::hollow::Arrivals;
+use std::time::Duration;
+
+/// What is said of a figure made from a quantile of arrivals where some are missing.
+const MISSING_NOTE: &str = "Over all sidecars; \
+    one that did not arrive counts with the whole wait, \
+    so the value may be a lower bound, and no line goes through such values.";
+
+/// Adds the times at which this share of the sidecars had arrived, for each of these shares, and how many were
+/// missing at the end of a wait of `longest`.
+pub(in crate::scenario) fn add_arrivals(
+    series: &mut Series,
+    what: &str,
+    shares: &[(&str, f64)],
+    size: f64,
+    arrivals: &Arrivals,
+    longest: Duration,
+) {
+    for (label, share) in shares {
+        let name = format!("{what}: {label}");
+        let time = quantile(arrivals, *share).unwrap_or(longest);
+        series.add(&name, "ms", size, milliseconds(time));
+        if arrivals.missing > 0 {
+            series.note(&name, MISSING_NOTE);
+        }
+    }
+    series.add(&format!("{what}: missing"), "sidecars", size, arrivals.missing as f64);
+}
+
+/// Adds what discovery was called for each sidecar between two readings of its usage.
+pub(in crate::scenario) fn add_discovery_calls(
+    series: &mut Series,
+    when: &str,
+    size: f64,
+    before: &DiscoveryUsage,
+    after: &DiscoveryUsage,
+) {
+    let counts = [
+        ("connections", before.connections, after.connections),
+        ("lists", before.lists, after.lists),
+        ("watches opened", before.watches_opened, after.watches_opened),
+        ("calls rejected", before.rejected, after.rejected),
+        ("calls abandoned", before.abandoned, after.abandoned),
+    ];
+    for (what, before, after) in counts {
+        let name = format!("{what} {when}");
+        series.add(&name, "a sidecar", size, (after - before) as f64 / size);
+    }
+}
+
+/// Adds the arrivals of another wait to these.
+pub(in crate::scenario) fn merge(arrivals: &mut Arrivals, other: Arrivals) {
+    arrivals.after.extend(other.after);
+    arrivals.after.sort();
+    arrivals.missing += other.missing;
+}
+
+/// A duration in milliseconds.
+fn milliseconds(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1e3
+}
+
+/// The time at which this share of all sidecars had arrived, by nearest rank; none if not so many did.
+fn quantile(arrivals: &Arrivals, share: f64) -> Option<Duration> {
+    let all = arrivals.after.len() + arrivals.missing;
+    let rank = (share * all as f64).ceil() as usize;
+    arrivals.after.get(rank.max(1) - 1).copied()
+}
--- a/lab/src/scenario/propagation.rs
+++ b/lab/src/scenario/propagation.rs
@@ -1,8 +1,83 @@
 //! Time until a change is known everywhere, and what it costs discovery, by fleet size.
 
+use super::fleet::{FleetPlan, KnownEndpoints, RunningFleet, add_arrivals, merge};
+use super::series::Series;
 use super::{Findings, ScenarioError};
+use crate::discovery::DiscoveryUsage;
 use crate::experiment::Propagation;
+use crate::sidecar::hollow::Arrivals;
+use std::thread;
+use std::time::{Duration, Instant};
 
-pub(super) fn run(_plan: &Propagation, _seed: u64) -> Result<Findings, ScenarioError> {
-    todo!()
+/// How long discovery is measured while nothing changes: three of its heartbeats.
+const IDLE_MEASUREMENT: Duration = Duration::from_secs(6);
+/// The shares of a fleet whose arrival is reported.
+const SHARES: [(&str, f64); 3] = [("half", 0.5), ("99 in 100", 0.99), ("last", 1.0)];
+
+pub(super) fn run(plan: &Propagation, seed: u64) -> Result<Findings, ScenarioError> {
+    let mut series = Series::over("sidecars");
+    for &size in &plan.fleet.sizes {
+        let fleet = FleetPlan::new(&plan.fleet, size, KnownEndpoints::All, seed).start()?;
+        measure_idle(&fleet, &mut series);
+        measure_changes(plan, &fleet, &mut series);
+    }
+    Ok(Findings { figures: series.with_slopes(), problems: Vec::new() })
+}
+
+/// Bytes and processor time of discovery's watches while nothing changes.
+fn measure_idle(fleet: &RunningFleet, series: &mut Series) {
+    let started = Instant::now();
+    let before = fleet.discovery.usage();
+    thread::sleep(IDLE_MEASUREMENT);
+    let after = fleet.discovery.usage();
+    let watch_seconds = fleet.size as f64 * started.elapsed().as_secs_f64();
+    let size = fleet.size as f64;
+    let bytes = (after.bytes_written - before.bytes_written) as f64;
+    series.add("idle bytes", "bytes/s a watch", size, bytes / watch_seconds);
+    series.add(
+        "idle processor time of discovery",
+        "us/s a watch",
+        size,
+        processor_microseconds(&before, &after) / watch_seconds,
+    );
+}
+
+/// Publishes the changes one after another, each once the one before is known everywhere.
+fn measure_changes(plan: &Propagation, fleet: &RunningFleet, series: &mut Series) {
+    let longest = Duration::from_secs_f64(plan.longest_seconds);
+    let mut arrivals = Arrivals::default();
+    let before = fleet.discovery.usage();
+    for number in 0..plan.changes {
+        let published = Instant::now();
+        let version = fleet.publish_change(number);
+        merge(&mut arrivals, fleet.sidecars.wait_for_version(version, published, longest));
+    }
+    let after = fleet.discovery.usage();
+    add_arrivals(series, "change known", &SHARES, fleet.size as f64, &arrivals, longest);
+    record_cost(plan.changes, fleet, &before, &after, series);
+}
+
+fn record_cost(
+    changes: u32,
+    fleet: &RunningFleet,
+    before: &DiscoveryUsage,
+    after: &DiscoveryUsage,
+    series: &mut Series,
+) {
+    let size = fleet.size as f64;
+    let told = size * f64::from(changes);
+    let bytes = after.bytes_written - before.bytes_written;
+    let heartbeat_bytes = after.heartbeat_bytes - before.heartbeat_bytes;
+    let change_bytes = (bytes - heartbeat_bytes) as f64;
+    series.add("bytes of a change", "bytes a watch", size, change_bytes / told);
+    series.add(
+        "processor time of discovery for a change",
+        "us a watch",
+        size,
+        processor_microseconds(before, after) / told,
+    );
+}
+
+fn processor_microseconds(before: &DiscoveryUsage, after: &DiscoveryUsage) -> f64 {
+    (after.processor_time - before.processor_time).as_secs_f64() * 1e6
 }
--- a/lab/src/scenario/series.rs
+++ b/lab/src/scenario/series.rs
@@ -35,13 +35,27 @@
         });
     }
 
-    /// Tells what else is to be known of a figure.
+    /// Tells what else is to be known of a figure. What is told twice stands once.
     pub(super) fn note(&mut self, name: &str, note: &str) {
-        if let Some(figure) = self.figures.iter_mut().find(|figure| figure.name == name) {
-            figure.note = Some(note.into());
+        let Some(figure) = self.figures.iter_mut().find(|figure| figure.name == name) else { return };
+        match &mut figure.note {
+            Some(notes) if notes.contains(note) => {}
+            Some(notes) => *notes = format!("{notes} {note}"),
+            None => figure.note = Some(note.into()),
         }
     }
 
+    /// Tells what else is to be known of all figures.
+    pub(super) fn note_all(&mut self, note: &str) {
+        let names: Vec<String> = self.figures.iter().map(|figure| figure.name.clone()).collect();
+        names.iter().for_each(|name| self.note(name, note));
+    }
+
+    /// The figures alone, where sizes are no quantity.
+    pub(super) fn without_slopes(self) -> Vec<Figure> {
+        self.figures
+    }
+
     /// The figures, each with the line through its measurements where there are enough of them.
     pub(super) fn with_slopes(mut self) -> Vec<Figure> {
         for figure in self.figures.iter_mut().filter(|figure| figure.points.len() >= FEWEST_POINTS) {
