Put no line through figures some of whose values are lower bounds

Cause: at 4 calls a second 381 of 500 sidecars were not current when the wait ended; their whole wait stands in the figure as a lower bound, and the slope through it would have been taken for a measured one. Change: a figure with such values gets no line, and its note says why.

--- a/lab/src/scenario/fleet/figures.rs
+++ b/lab/src/scenario/fleet/figures.rs
@@ -8,7 +8,7 @@
 /// What is said of a figure made from a quantile of arrivals where some are missing.
 const MISSING_NOTE: &str = "Over all sidecars; \
     one that did not arrive counts with the whole wait, \
-    so the value may be a lower bound, and no line goes through such values.";
+    so the value may be a lower bound.";
 
 /// Adds the times at which this share of the sidecars had arrived, for each of these shares, and how many were
 /// missing at the end of a wait of `longest`.
@@ -26,6 +26,7 @@
         series.add(&name, "ms", size, milliseconds(time));
         if arrivals.missing > 0 {
             series.note(&name, MISSING_NOTE);
+            series.leave_without_line(&name);
         }
     }
     series.add(&format!("{what}: missing"), "sidecars", size, arrivals.missing as f64);
--- a/lab/src/scenario/series.rs
+++ b/lab/src/scenario/series.rs
@@ -2,6 +2,7 @@
 
 use crate::measure::{Point, Slope};
 use crate::report::Figure;
+use std::collections::BTreeSet;
 
 /// The fewest measurements of which a line can leave something unexplained.
 const FEWEST_POINTS: usize = 3;
@@ -10,12 +11,14 @@
 pub(super) struct Series {
     size_unit: &'static str,
     figures: Vec<Figure>,
+    /// Names of figures that no line is put through.
+    without_lines: BTreeSet<String>,
 }
 
 impl Series {
     /// No figures yet; `size_unit` tells what the sizes count.
     pub(super) fn over(size_unit: &'static str) -> Self {
-        Series { size_unit, figures: Vec::new() }
+        Series { size_unit, figures: Vec::new(), without_lines: BTreeSet::new() }
     }
 
     /// Adds a measurement to a figure.
@@ -45,6 +48,11 @@
         }
     }
 
+    /// Puts no line through a figure, some of whose values are bounds and no measurements.
+    pub(super) fn leave_without_line(&mut self, name: &str) {
+        self.without_lines.insert(name.to_owned());
+    }
+
     /// Tells what else is to be known of all figures.
     pub(super) fn note_all(&mut self, note: &str) {
         let names: Vec<String> = self.figures.iter().map(|figure| figure.name.clone()).collect();
@@ -58,8 +66,10 @@
 
     /// The figures, each with the line through its measurements where there are enough of them.
     pub(super) fn with_slopes(mut self) -> Vec<Figure> {
-        for figure in self.figures.iter_mut().filter(|figure| figure.points.len() >= FEWEST_POINTS) {
-            figure.slope = Slope::fit(&figure.points);
+        for figure in &mut self.figures {
+            if figure.points.len() >= FEWEST_POINTS && !self.without_lines.contains(&figure.name) {
+                figure.slope = Slope::fit(&figure.points);
+            }
         }
         self.figures
     }
--- a/lab/tests/small_run.rs
+++ b/lab/tests/small_run.rs
@@ -40,6 +40,21 @@
     }
 }
 
+#[test]
+fn sidecars_that_do_not_arrive_count_with_the_whole_wait_and_leave_no_line() {
+    let report = run("outage-cut-short");
+
+    // Discovery answers one call at once and the next after ten seconds.
+    let missing: Vec<f64> = values(&report, "list current after the outage: missing").collect();
+    for (missing, sidecars) in missing.iter().zip([3.0, 6.0, 9.0]) {
+        assert!([sidecars - 1.0, sidecars].contains(missing), "{missing} of {sidecars}");
+    }
+    let last = figure(&report, "list current after the outage: last");
+    assert!(last.points.iter().all(|point| point.value == 500.0), "{last:?}");
+    assert!(last.slope.is_none() && last.note.is_some(), "{last:?}");
+    assert!(figure(&report, "list current after the outage: missing").slope.is_some());
+}
+
 #[test]
 fn every_sidecar_is_ready_and_watches_after_a_restart() {
     let report = run("fleet-restart");
