End the sidecars that the lab started when a signal stops it

Cause: with `pipittray-lab run` ended by SIGTERM during the memory experiment, its sidecar process was still running half a second later, as a signal runs no destructors.

Change: a thread waits for SIGINT and SIGTERM, kills the lab's child processes and exits with 130. Cargo.lock stays as it is (tokio's signal feature is the sidecar's already).

Temporary folders of sidecars that were running at the signal stay behind.

--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -4,6 +4,7 @@
 
 mod command;
 mod limits;
+mod stop;
 
 use clap::Parser;
 use command::Arguments;
@@ -18,6 +19,7 @@
     let arguments = Arguments::parse();
     start_log();
     limits::raise_descriptors();
+    stop::watch_signals();
     match arguments.run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
--- a/lab/src/scenario/latency.rs
+++ b/lab/src/scenario/latency.rs
@@ -42,6 +42,7 @@
 
 fn add_notes(series: &mut Series) {
     series.note("through p99.9", "The longest one where fewer than 1,000 calls were measured.");
+    series.note("unsafe added p99", "The longest one where fewer than 100 unsafe calls were measured.");
     series.note(
         "processor time a call",
         "Over warm-up and measurement, divided by the attempts that the sidecar made.",
--- a/lab/tests/command.rs
+++ b/lab/tests/command.rs
@@ -1,10 +1,18 @@
 //! The command line: its exit codes, and that what is wrong is told.
 
+use rustix::process::{Pid, Signal, kill_process};
 use std::fs;
+use std::os::unix::fs::PermissionsExt;
 use std::path::Path;
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
+use std::thread;
+use std::time::{Duration, Instant};
 
 const FOLDER: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/experiments");
+/// How long a state may take.
+const LONGEST_WAIT: Duration = Duration::from_secs(15);
+/// Between two looks at a state.
+const LOOK: Duration = Duration::from_millis(10);
 
 fn lab(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_pipittray-lab")).args(arguments).output().unwrap()
@@ -68,3 +76,43 @@
     let report = fs::read_to_string(folder.path().join("results.md")).unwrap();
     assert!(report.contains("- failed: start "), "{report}");
 }
+
+/// The processes that a process started, over all of its threads.
+fn children(process: u32) -> Vec<i32> {
+    let tasks = procfs::process::Process::new(process as i32).and_then(|process| process.tasks());
+    let children = tasks.into_iter().flatten().flatten().filter_map(|task| task.children().ok());
+    children.flatten().map(|number| number as i32).collect()
+}
+
+/// A sidecar that never tells where it listens is waited for, so that the signal finds one running.
+#[test]
+fn sigterm_ends_the_lab_and_the_processes_that_it_started() {
+    let folder = tempfile::tempdir().unwrap();
+    let program = folder.path().join("sidecar");
+    fs::write(&program, "#!/bin/sh\nexec sleep 60\n").unwrap();
+    fs::set_permissions(&program, fs::Permissions::from_mode(0o755)).unwrap();
+    let mut lab = Command::new(env!("CARGO_BIN_EXE_pipittray-lab"))
+        .args(["run", &format!("{FOLDER}/30-memory.toml"), "--program", path(&program)])
+        .args(["--output", path(folder.path())])
+        .env("TMPDIR", folder.path())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .unwrap();
+    let give_up = Instant::now() + LONGEST_WAIT;
+    while children(lab.id()).is_empty() && Instant::now() < give_up {
+        thread::sleep(LOOK);
+    }
+    let sidecars = children(lab.id());
+    assert_eq!(sidecars.len(), 1);
+    kill_process(Pid::from_child(&lab), Signal::TERM).unwrap();
+    assert_eq!(lab.wait().unwrap().code(), Some(130));
+    let is_running = |number: &i32| {
+        let stat = procfs::process::Process::new(*number).and_then(|process| process.stat());
+        stat.is_ok_and(|stat| stat.state != 'Z')
+    };
+    while sidecars.iter().any(is_running) {
+        assert!(Instant::now() < give_up, "a sidecar is still running");
+        thread::sleep(LOOK);
+    }
+}
