Catch SIGTERM before the lab starts anything, and report nothing that a stop broke

Cause: sigterm_ends_the_lab_and_the_processes_that_it_started failed in 1 of 25 runs, at the exit code. The signals were caught by a thread of its own, which a busy machine may start late; and an experiment that fails because its sidecar was just ended could end the run with 1 before the thread exited with 130. Which of the two it was is not known.

Change: the signals are caught before watch_signals returns, and the main thread waits for the exit once a signal has come.

--- a/lab/src/command/run.rs
+++ b/lab/src/command/run.rs
@@ -1,6 +1,7 @@
 //! The commands `scale` and `run`: experiments one after another, with the report written after each.
 
 use super::{CommandError, RunOptions};
+use crate::stop;
 use pipittray_lab::experiment::Experiment;
 use pipittray_lab::report::{ExperimentReport, Report};
 use pipittray_lab::scenario::{self, RunContext};
@@ -67,7 +68,9 @@
 fn run_one(experiment: &Experiment, context: &RunContext) -> (ExperimentReport, bool) {
     info!(experiment = %experiment.name, "begins");
     let started = Instant::now();
-    match scenario::run(experiment, context) {
+    let result = scenario::run(experiment, context);
+    stop::wait_if_stopping();
+    match result {
         Ok(report) => {
             info!(experiment = %experiment.name, seconds = report.seconds, "is done");
             (report, false)
--- a/lab/src/stop.rs
+++ b/lab/src/stop.rs
@@ -4,6 +4,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 use std::io;
 use std::process::exit;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use tokio::runtime;
 use tokio::signal::unix::{SignalKind, signal};
@@ -12,27 +13,43 @@
 /// Exit code of a run that was stopped, as shells have it for SIGINT.
 const STOPPED: i32 = 130;
 
-/// Has a thread wait for the signals for as long as the lab runs.
+/// Whether a signal has come, and the sidecars are being ended.
+static IS_STOPPING: AtomicBool = AtomicBool::new(false);
+
+/// Has a thread wait for the signals for as long as the lab runs. Once this returns, they are caught.
 pub fn watch_signals() {
-    thread::spawn(|| match wait_for_signal() {
-        Ok(()) => stop(),
-        Err(cause) => error!(%cause, "cannot wait for signals"),
-    });
+    if let Err(cause) = catch_signals() {
+        error!(%cause, "cannot wait for signals");
+    }
 }
 
-fn wait_for_signal() -> io::Result<()> {
+fn catch_signals() -> io::Result<()> {
     let runtime = runtime::Builder::new_current_thread().enable_io().build()?;
-    runtime.block_on(async {
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        let mut terminate = signal(SignalKind::terminate())?;
-        tokio::select! {
-            _ = interrupt.recv() => Ok(()),
-            _ = terminate.recv() => Ok(()),
-        }
-    })
+    let context = runtime.enter();
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut terminate = signal(SignalKind::terminate())?;
+    drop(context);
+    thread::spawn(move || {
+        runtime.block_on(async {
+            tokio::select! {
+                _ = interrupt.recv() => {}
+                _ = terminate.recv() => {}
+            }
+        });
+        stop()
+    });
+    Ok(())
+}
+
+/// Does not return once a signal has come: an experiment that failed as its sidecars were ended is no result.
+pub fn wait_if_stopping() {
+    while IS_STOPPING.load(Ordering::SeqCst) {
+        thread::park();
+    }
 }
 
 fn stop() -> ! {
+    IS_STOPPING.store(true, Ordering::SeqCst);
     let children = children();
     info!(sidecars = children.len(), "stopped by a signal; ends its sidecars");
     for child in children {
