Keep a late discovery call's place in the queue, and back off with jitter between calls

Cause: discovery handles calls in turn and spends turns also on calls that were given up. Every call was given up after 4.2 s and made again at the end of the queue, 300 ms later at a pushed list's agent, without growth or jitter. Once a fleet needs more than 4.2 s of discovery's time it stays busy for nothing (congestion collapse). Change: a call that is late is kept open beside a fresh one, and the first answer counts (discovery/patient_call.rs). Two are out at most: the oldest, for 30 s, and the newest, which is made anew after 4.2 to 5 s by jitter, so that a partition that ends is noticed within the 6 s rule. A call whose connection is not up has no place and is not kept. The agent's pause grows from 0.3 to 1.2 s in the mean with jitter, at most 1.8 s, and begins anew with an open watch (discovery/backoff.rs). The decision module hears of a failed call as before; a late call is no failure to it any more, but a line of the log (lists that are asked for). Consumers give a seed for the jitter: `ListConsumer::jitter_seed`. The price is that up to 1.8 s pass before small fleets are current.

--- a/src/bin/rowanway/node.rs
+++ b/src/bin/rowanway/node.rs
@@ -148,6 +148,8 @@
     pub counters: Counters,
     pub figures: Figures,
     balancer: Balancer,
+    /// The configuration's, of random numbers that the module does not draw.
+    seed: u64,
     members: HashMap<EndpointId, Member>,
     /// The version of the list that the present discovery gave; none of another's counts there.
     version: Option<u64>,
@@ -191,6 +193,7 @@
         let node = Handle(Rc::new(RefCell::new(Node {
             clock: Clock::start(),
             balancer: Balancer::new(config.settings.clone(), config.seed)?,
+            seed: config.seed,
             callers: Callers::default(),
             counters: Counters::default(),
             figures: Figures::default(),
@@ -576,6 +579,17 @@
         }
     }
 
+    /// An agent says nothing while discovery is down.
+    fn call_is_late(&self, _source: Source) {
+        if self.borrow().terms.settings.discovery == Discovery::Asked {
+            log!("discovery is late with an answer and is called again");
+        }
+    }
+
+    fn jitter_seed(&self) -> u64 {
+        self.borrow().seed
+    }
+
     fn log(&self, line: fmt::Arguments<'_>) {
         log!("{line}");
     }
--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -1,21 +1,16 @@
 //! Calls of discovery and watches on it, each on a connection of its own.
 
+use super::backoff::Backoff;
+use super::patient_call;
 use super::{DiscoveryError, EndpointList, ListConsumer, Source};
 use crate::api::DISCOVERY_TIMEOUT;
-use bytes::{Buf, Bytes, BytesMut};
-use http_body_util::{BodyExt, Empty, Limited};
+use bytes::{Buf, BytesMut};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::client::conn::http1;
-use hyper::{Request, StatusCode, header};
-use hyper_util::rt::TokioIo;
 use std::error::Error;
-use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-/// Pause before a pushed list's agent is called again: nobody else decides on it there.
-const AGENT_PAUSE: Duration = Duration::from_millis(300);
 /// The longest list taken, or word of changes, in bytes. The largest fleets need a fiftieth of it.
 const LONGEST_LIST: usize = 4 << 20;
 /// The path of the whole list.
@@ -24,28 +19,34 @@
 /// Follows the changes after version `since` until the watch fails, which the consumer is then told: when to ask
 /// again is the decision module's business.
 pub async fn watch<C: ListConsumer>(consumer: C, source: Source, since: Option<u64>) {
-    let failure = follow(&consumer, source, since).await;
+    let mut backoff = Backoff::new(consumer.jitter_seed());
+    let Lost { failure, .. } = follow(&consumer, source, since, &mut backoff).await;
     consumer.watch_ended(source, &failure);
     consumer.log(format_args!("the watch on discovery ended: {failure}"));
     consumer.discovery_failed(source);
 }
 
-/// Follows an agent that pushes lists, without end. It costs nothing to call again, and says nothing while discovery
-/// is down, so neither is told to the consumer.
+/// Follows an agent that pushes lists, without end. Nobody else decides there when it is called again. It says nothing
+/// while discovery is down, so that is not told to the consumer.
 pub async fn follow_agent<C: ListConsumer>(consumer: C, source: Source) {
+    let mut backoff = Backoff::new(consumer.jitter_seed());
     loop {
-        let failure = follow(&consumer, source, consumer.held_version(source)).await;
+        let begun = Instant::now();
+        let since = consumer.held_version(source);
+        let Lost { failure, was_open } = follow(&consumer, source, since, &mut backoff).await;
         consumer.watch_ended(source, &failure);
         if !matches!(failure, DiscoveryError::TimedOut(_)) {
             consumer.log(format_args!("the watch on discovery's agent ended: {failure}"));
         }
-        sleep(AGENT_PAUSE).await;
+        let took = if was_open { Duration::ZERO } else { begun.elapsed() };
+        sleep(backoff.pause_after(took)).await;
     }
 }
 
 /// Asks for the whole list once.
 pub async fn fetch<C: ListConsumer>(consumer: C, source: Source) {
-    let received = match whole_list(source).await {
+    let mut backoff = Backoff::new(consumer.jitter_seed());
+    let received = match whole_list(&consumer, source, &mut backoff).await {
         Ok(list) => consumer.list_received(source, list).map_err(DiscoveryError::from),
         Err(failure) => Err(failure),
     };
@@ -56,8 +57,13 @@
     }
 }
 
-async fn whole_list(source: Source) -> Result<EndpointList, DiscoveryError> {
-    let body = ask(source.address, LIST_PATH).await?;
+async fn whole_list<C: ListConsumer>(
+    consumer: &C,
+    source: Source,
+    backoff: &mut Backoff,
+) -> Result<EndpointList, DiscoveryError> {
+    let body =
+        patient_call::ask(source.address, LIST_PATH, backoff, || consumer.call_is_late(source)).await?;
     let body = timeout(DISCOVERY_TIMEOUT, Limited::new(body, LONGEST_LIST).collect()).await?;
     let body = body.map_err(limited_body_error)?;
     Ok(serde_json::from_slice(&body.to_bytes())?)
@@ -71,10 +77,26 @@
     }
 }
 
-async fn follow<C: ListConsumer>(consumer: &C, source: Source, since: Option<u64>) -> DiscoveryError {
-    match open_watch(consumer, source, since).await {
-        Ok(body) => read_watch(consumer, source, body).await.err().unwrap_or(DiscoveryError::Closed),
-        Err(failure) => failure,
+/// How following discovery ended.
+struct Lost {
+    failure: DiscoveryError,
+    /// A watch was open before.
+    was_open: bool,
+}
+
+async fn follow<C: ListConsumer>(
+    consumer: &C,
+    source: Source,
+    since: Option<u64>,
+    backoff: &mut Backoff,
+) -> Lost {
+    match open_watch(consumer, source, since, backoff).await {
+        Ok(body) => {
+            backoff.reset();
+            let failure = read_watch(consumer, source, body).await.err().unwrap_or(DiscoveryError::Closed);
+            Lost { failure, was_open: true }
+        }
+        Err(failure) => Lost { failure, was_open: false },
     }
 }
 
@@ -84,17 +106,19 @@
     consumer: &C,
     source: Source,
     since: Option<u64>,
+    backoff: &mut Backoff,
 ) -> Result<Incoming, DiscoveryError> {
     let since = match since {
         Some(since) => since,
         None => {
-            let list = whole_list(source).await?;
+            let list = whole_list(consumer, source, backoff).await?;
             let since = list.index;
             consumer.list_received(source, list)?;
             since
         }
     };
-    let body = ask(source.address, &format!("{LIST_PATH}?follow=1&since={since}")).await?;
+    let path = format!("{LIST_PATH}?follow=1&since={since}");
+    let body = patient_call::ask(source.address, &path, backoff, || consumer.call_is_late(source)).await?;
     consumer.watch_opened(source);
     Ok(body)
 }
@@ -134,21 +158,3 @@
     }
     Ok(())
 }
-
-/// One call of discovery on a connection of its own.
-async fn ask(address: SocketAddr, path: &str) -> Result<Incoming, DiscoveryError> {
-    timeout(DISCOVERY_TIMEOUT, call(address, path)).await?
-}
-
-async fn call(address: SocketAddr, path: &str) -> Result<Incoming, DiscoveryError> {
-    let stream = TcpStream::connect(address).await.map_err(DiscoveryError::Connect)?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    // Ends with the call: once the body or its reader is gone, and the sender with it.
-    tokio::task::spawn_local(connection);
-    let request = Request::get(path).header(header::HOST, address.to_string());
-    let response = sender.send_request(request.body(Empty::<Bytes>::new())?).await?;
-    match response.status() {
-        StatusCode::OK => Ok(response.into_body()),
-        status => Err(DiscoveryError::Status(status)),
-    }
-}
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -4,9 +4,12 @@
 //! module and asks for calls ([`fetch`]) and watches ([`watch`], [`follow_agent`]) as the module says. All of them
 //! run on the current thread and need a [`tokio::task::LocalSet`].
 
+mod backoff;
 mod client;
 mod list;
+mod patient_call;
 
+pub use backoff::Backoff;
 pub use client::{fetch, follow_agent, watch};
 pub use list::{EndpointList, Entry, Status};
 
@@ -48,6 +51,12 @@
     /// A call for the whole list alone failed, for consumers that count them.
     fn fetch_failed(&self, _source: Source, _failure: &DiscoveryError) {}
 
+    /// A call has no answer yet, and another is made beside it; for consumers that count or log them.
+    fn call_is_late(&self, _source: Source) {}
+
+    /// The seed of the jitter between calls: another for each sidecar of a fleet, lest they call in step.
+    fn jitter_seed(&self) -> u64;
+
     /// A line of the log.
     fn log(&self, line: fmt::Arguments<'_>);
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -384,6 +384,7 @@
 }
 
 /// The seeded random source of one instance.
+#[derive(Debug)]
 pub struct Dice(Pcg64Mcg);
 
 impl Dice {
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -12,6 +12,7 @@
 mod descriptor_pressure;
 mod dials;
 mod discovery_recovery;
+mod discovery_resync;
 mod drains;
 mod leaving;
 mod mass_restart;
