--- a/lab/src/sidecar/hollow/member.rs
+++ b/lab/src/sidecar/hollow/member.rs
@@ -52,6 +52,8 @@
     calls_made: u64,
     /// Once callers have begun to call: when the sidecar is first ready, as they ask for that.
     has_callers: bool,
+    /// Seed of this start's random numbers.
+    seed: u64,
     random: Pcg64,
     events: VecDeque<Event>,
     actions: Vec<Action>,
@@ -88,6 +90,7 @@
             calls: OpenCalls::default(),
             calls_made: 0,
             has_callers: false,
+            seed,
             random: Pcg64::seed_from_u64(seed),
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -282,6 +285,10 @@
         }
     }
 
+    fn jitter_seed(&self) -> u64 {
+        self.borrow().seed
+    }
+
     fn log(&self, line: fmt::Arguments<'_>) {
         tracing::debug!(place = self.borrow().identity.place, "{line}");
     }
