--- a/src/bin/rowanway/main.rs
+++ b/src/bin/rowanway/main.rs
@@ -29,8 +29,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpListener;
+use tokio::runtime::{Builder, LocalOptions};
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::task::LocalSet;
 use tokio::time::{Instant, timeout, timeout_at};
 use upgrade::{Folder, Word};
 
@@ -45,10 +45,9 @@
 const LAST_MOMENT: Duration = Duration::from_millis(400);
 
 fn main() -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let end = runtime
-        .map_err(|e| format!("the runtime: {e}"))
-        .and_then(|runtime| LocalSet::new().block_on(&runtime, run()));
+    // Its scheduler polls local tasks itself. A `LocalSet` on top of it is woken through the event descriptor.
+    let runtime = Builder::new_current_thread().enable_all().build_local(LocalOptions::default());
+    let end = runtime.map_err(|e| format!("the runtime: {e}")).and_then(|runtime| runtime.block_on(run()));
     match end {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
