Have the lab's single sidecar be one of as many as there are endpoints

Cause: told that it is alone, a sidecar spreads its calls over all 500 endpoints and keeps connections to each (2979 descriptors and 74 MB at 2000 calls/s), which no sidecar of a fleet does. Change: it is told of as many sidecars as endpoints, as each endpoint has its own.

--- a/lab/src/scenario/single.rs
+++ b/lab/src/scenario/single.rs
@@ -44,7 +44,8 @@
     pub(super) seed: u64,
 }
 
-/// One sidecar that is ready, with all around it.
+/// One sidecar that is ready, with all around it. It is told that each endpoint has a sidecar of its own, so that it
+/// uses as small a subset of the endpoints as one of a fleet does.
 pub(super) struct Single {
     pub(super) sidecar: SidecarProcess,
     pub(super) configuration: SidecarConfiguration,
@@ -61,7 +62,7 @@
             .map(|number| add_endpoint(&host, &format!("endpoint-{number}"), options.endpoint, None))
             .collect::<Result<Vec<_>, _>>()?;
         let discovery = start_discovery(&endpoints)?;
-        let place = Place { tier: 0, tiers: 1, number: 0, sidecars: 1 };
+        let place = Place { tier: 0, tiers: 1, number: 0, sidecars: options.endpoints };
         let mut configuration = configuration(&discovery, place, options.deadline, options.seed);
         configuration.probes = options.probes;
         let sidecar = start_sidecar(&configuration, context)?;
