--- a/tests/sidecar/stubs.rs
+++ b/tests/sidecar/stubs.rs
@@ -13,6 +13,14 @@
 /// Far longer than anything here takes: where it runs out, what was awaited does not come.
 pub const LONG: Duration = Duration::from_secs(20);
 
+/// Whether a connection has not ended so far, and nothing has come on it that was not read.
+pub fn is_open_and_silent(stream: &TcpStream) -> bool {
+    stream.set_nonblocking(true).expect("an option");
+    let silent = stream.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
+    stream.set_nonblocking(false).expect("an option");
+    silent
+}
+
 /// Waits until something is so.
 pub fn awaits(what: &str, mut is_so: impl FnMut() -> bool) {
     let until = Instant::now() + LONG;
@@ -89,11 +97,7 @@
 
     /// Whether nothing has come on it so far that was not read, nor its end.
     pub fn is_silent(&self) -> bool {
-        let stream = self.stream.get_ref();
-        stream.set_nonblocking(true).expect("an option");
-        let silent = stream.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
-        stream.set_nonblocking(false).expect("an option");
-        silent
+        is_open_and_silent(self.stream.get_ref())
     }
 
     /// Whether the sidecar has closed the connection, with nothing more on it.
@@ -291,10 +295,7 @@
 
     /// Whether the sidecar has not closed it so far.
     fn is_open(&self) -> bool {
-        self.stream.set_nonblocking(true).expect("an option");
-        let open = self.stream.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
-        self.stream.set_nonblocking(false).expect("an option");
-        open
+        is_open_and_silent(&self.stream)
     }
 
     /// Ends it in order, as a list that was asked for once.
--- a/tests/sidecar/watches.rs
+++ b/tests/sidecar/watches.rs
@@ -81,10 +81,7 @@
 
     /// Whether the sidecar has not closed it so far.
     pub fn is_open(&self) -> bool {
-        self.stream.set_nonblocking(true).expect("an option");
-        let open = self.stream.peek(&mut [0]).is_err_and(|e| e.kind() == std::io::ErrorKind::WouldBlock);
-        self.stream.set_nonblocking(false).expect("an option");
-        open
+        is_open_and_silent(&self.stream)
     }
 
     pub fn follows(&self, since: u64) -> bool {
