--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -2,13 +2,13 @@
 //!
 //! `cargo run --example embed`
 
-use passproxy::api::*;
-use passproxy::choice::Balancer;
+use pipittray::policy::Balancer;
+use pipittray::policy::*;
 use std::time::Duration;
 
 struct Host {
     balancer: Balancer,
-    now: Moment,
+    now: Timestamp,
 }
 
 impl Host {
@@ -36,41 +36,44 @@
 
     fn served(&mut self, id: &str, depth: f64) -> Vec<Action> {
         self.now = self.now + Duration::from_millis(20);
-        let ended = Ended {
+        let ended = AttemptEnd {
             request: id.into(),
             attempt: 0,
             outcome: Outcome::Served,
             took: Duration::from_millis(20),
-            terminal: true,
-            report: Some(Report { depth: Some(depth), ..Report::default() }),
+            request_ended: true,
+            report: Some(LoadReport { depth: Some(depth), ..LoadReport::default() }),
         };
-        self.tell(&format!("request {id} was served, {depth} requests wait there"), Event::Outcome(ended))
+        self.tell(
+            &format!("request {id} was served, {depth} requests wait there"),
+            Event::AttemptEnded(ended),
+        )
     }
 
     fn list(&mut self, readiness: Readiness) -> Vec<Action> {
-        let entry = Listing {
+        let entry = EndpointEntry {
             endpoint: "box-1".into(),
             zone: "here".into(),
             kind: "box".into(),
-            cell: CellId(0),
+            group: GroupId(0),
             readiness,
             size: 1.0,
-            up_since: None,
+            started_at: None,
         };
-        let news = Event::Members { version: 1, news: News::Delta, entries: [entry].into() };
+        let news = Event::EndpointList { version: 1, kind: ListKind::Changes, entries: [entry].into() };
         self.tell(&format!("the list says {readiness:?}"), news)
     }
 }
 
 fn main() -> Result<(), SettingsError> {
-    let (aim, deadline) = (Duration::from_secs(1), Duration::from_secs(3));
+    let (objective, deadline) = (Duration::from_secs(1), Duration::from_secs(3));
     let classes = vec![
-        Class::new("browse", 1.0, Effect::Safe, aim, deadline),
-        Class::new("order", 5.0, Effect::Unsafe, aim, deadline),
+        Class::new("browse", 1.0, Idempotency::Idempotent, objective, deadline),
+        Class::new("order", 5.0, Idempotency::Unsafe, objective, deadline),
     ];
     let mut settings = Settings::new("here".into(), classes);
     settings.rules.drain_close = Some(Duration::from_millis(500));
-    let mut host = Host { balancer: Balancer::new(settings, 42)?, now: Moment::from_nanos(1_000_000_000) };
+    let mut host = Host { balancer: Balancer::new(settings, 42)?, now: Timestamp::from_nanos(1_000_000_000) };
 
     host.list(Readiness::Up);
     host.request("a", 1); // sent
--- a/lab/src/command/mod.rs
+++ b/lab/src/command/mod.rs
@@ -55,7 +55,7 @@
 #[derive(Args)]
 struct RunOptions {
     /// The built sidecar.
-    #[arg(long, value_name = "PATH", default_value = "target/release/rowanway")]
+    #[arg(long, value_name = "PATH", default_value = "target/release/pipittray")]
     program: PathBuf,
     /// Where `results.json` and `results.md` go.
     #[arg(long, value_name = "DIR", default_value = "target/lab")]
--- a/lab/src/sidecar/hollow/attempts.rs
+++ b/lab/src/sidecar/hollow/attempts.rs
@@ -3,7 +3,7 @@
 use super::FleetState;
 use super::endpoints::SimulatedEndpoint;
 use super::member::MemberHandle;
-use passproxy::api::{AttemptNo, EndpointId, Moment, Outcome, Report, Reporting, RequestId};
+use pipittray::policy::{AttemptNumber, EndpointId, LoadReport, Outcome, Reporting, RequestId, Timestamp};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, sleep_until};
@@ -16,7 +16,7 @@
 /// An attempt to be made.
 pub(super) struct Attempt {
     pub request: RequestId,
-    pub number: AttemptNo,
+    pub number: AttemptNumber,
     pub endpoint: Arc<SimulatedEndpoint>,
     /// The sidecar waits until then.
     pub until: Instant,
@@ -31,7 +31,7 @@
     pub endpoint: EndpointId,
     pub simulated: Arc<SimulatedEndpoint>,
     /// Which of the endpoint's processes it is meant for.
-    pub up_since: Option<Moment>,
+    pub started_at: Option<Timestamp>,
     pub connect_timeout: Duration,
     pub reporting: Reporting,
 }
@@ -39,7 +39,7 @@
 /// How an attempt or a probe ended.
 pub(super) struct Ending {
     pub outcome: Outcome,
-    pub report: Option<Report>,
+    pub report: Option<LoadReport>,
 }
 
 impl Ending {
--- a/lab/src/sidecar/hollow/calls.rs
+++ b/lab/src/sidecar/hollow/calls.rs
@@ -2,7 +2,7 @@
 
 use super::member::MemberHandle;
 use super::task::Task;
-use passproxy::api::{AttemptNo, Moment, RequestId};
+use pipittray::policy::{AttemptNumber, RequestId, Timestamp};
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::{Instant, sleep_until};
@@ -25,34 +25,34 @@
 pub(super) struct OpenCalls(HashMap<RequestId, OpenCall>);
 
 struct OpenCall {
-    deadline: Moment,
+    deadline: Timestamp,
     is_answered: bool,
     attempts: Vec<OpenAttempt>,
 }
 
 struct OpenAttempt {
-    sent: Moment,
+    sent: Timestamp,
     /// Gone once the attempt has ended.
     task: Option<Task>,
 }
 
 /// What is to be known of a call before an attempt of it.
 pub(super) struct NextAttempt {
-    pub number: AttemptNo,
-    pub deadline: Moment,
+    pub number: AttemptNumber,
+    pub deadline: Timestamp,
     pub call_is_answered: bool,
 }
 
 /// An attempt that has just ended.
 pub(super) struct EndedAttempt {
     /// Since when it was out.
-    pub sent: Moment,
+    pub sent: Timestamp,
     /// Its call has its final answer.
     pub call_is_answered: bool,
 }
 
 impl OpenCalls {
-    pub fn insert(&mut self, request: RequestId, deadline: Moment) {
+    pub fn insert(&mut self, request: RequestId, deadline: Timestamp) {
         self.0.insert(request, OpenCall { deadline, is_answered: false, attempts: Vec::new() });
     }
 
@@ -71,7 +71,7 @@
     }
 
     /// Adds a call's next attempt; one without a task has ended already.
-    pub fn begin_attempt(&mut self, request: &RequestId, sent: Moment, task: Option<Task>) {
+    pub fn begin_attempt(&mut self, request: &RequestId, sent: Timestamp, task: Option<Task>) {
         if let Some(call) = self.0.get_mut(request) {
             call.attempts.push(OpenAttempt { sent, task });
         }
@@ -81,7 +81,7 @@
     pub fn end_attempt(
         &mut self,
         request: &RequestId,
-        attempt: AttemptNo,
+        attempt: AttemptNumber,
         served: bool,
     ) -> Option<EndedAttempt> {
         let call = self.0.get_mut(request)?;
--- a/lab/src/sidecar/hollow/clock.rs
+++ b/lab/src/sidecar/hollow/clock.rs
@@ -1,6 +1,6 @@
 //! The clock of a hollow sidecar's decision module.
 
-use passproxy::api::Moment;
+use pipittray::policy::Timestamp;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
 
@@ -12,21 +12,21 @@
 #[derive(Clone, Copy)]
 pub(super) struct Clock {
     started: Instant,
-    started_at: Moment,
+    started_at: Timestamp,
 }
 
 impl Clock {
     pub fn start() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { started: Instant::now(), started_at: Moment::default() + unix }
+        Clock { started: Instant::now(), started_at: Timestamp::default() + unix }
     }
 
-    pub fn now(&self) -> Moment {
+    pub fn now(&self) -> Timestamp {
         self.started_at + self.started.elapsed()
     }
 
     /// When the runtime's timers reach a moment.
-    pub fn instant(&self, moment: Moment) -> Instant {
+    pub fn instant(&self, moment: Timestamp) -> Instant {
         Instant::now() + moment.since(self.now()).min(LONGEST_TIMER)
     }
 }
--- a/lab/src/sidecar/hollow/endpoints.rs
+++ b/lab/src/sidecar/hollow/endpoints.rs
@@ -1,6 +1,6 @@
 //! The endpoints that hollow sidecars' attempts go to: whether they can be reached, and what is in flight at them.
 
-use passproxy::api::{EndpointId, Report};
+use pipittray::policy::{EndpointId, LoadReport};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
@@ -73,10 +73,10 @@
     }
 
     /// The load report that an answer or a probe brings.
-    pub fn report(&self) -> Report {
+    pub fn report(&self) -> LoadReport {
         let in_flight = self.in_flight.load(Ordering::Relaxed);
         let waiting = in_flight.saturating_sub(CORES);
-        Report { depth: Some(waiting as f64), in_flight: Some(in_flight as f64), ..Report::default() }
+        LoadReport { depth: Some(waiting as f64), in_flight: Some(in_flight as f64), ..LoadReport::default() }
     }
 
     /// Counts a request in flight until the guard is dropped.
--- a/lab/src/sidecar/hollow/member.rs
+++ b/lab/src/sidecar/hollow/member.rs
@@ -4,12 +4,10 @@
 use super::attempts::{self, Attempt, Ending, Probe};
 use super::calls::{self, NextAttempt, OpenCalls};
 use super::clock::Clock;
-use super::membership::Membership;
 use super::plan::MemberPlan;
 use super::task::Task;
-use passproxy::api::*;
-use passproxy::choice::Balancer;
-use passproxy::discovery::{self, DiscoveryError, EndpointList, ListConsumer, OlderList, Source};
+use pipittray::discovery::{self, DiscoveryError, EndpointList, ListConsumer, Membership, OlderList, Source};
+use pipittray::policy::*;
 use rand::{RngExt, SeedableRng};
 use rand_distr::Exp1;
 use rand_pcg::Pcg64;
@@ -97,10 +95,10 @@
         })));
         // The module asks once what it was told is old, which with nothing told never comes.
         let known = plan.known_list();
-        let asks_at_once = known.is_none() || plan.settings.discovery == Discovery::Pushed;
+        let asks_at_once = known.is_none() || plan.settings.discovery == DiscoveryMode::Pushed;
         if let Some(known) = known {
             member.borrow().membership.assume_version(known.index);
-            member.learn(known, News::Stale);
+            member.learn(known, ListKind::Cached);
         }
         if asks_at_once {
             member.borrow().begin_watch(&member);
@@ -137,7 +135,7 @@
         }
         let now = member.clock.now();
         let mut actions = Vec::new();
-        member.classes = member.balancer.retune(now, plan.settings.clone(), &mut actions)?;
+        member.classes = member.balancer.change_settings(now, plan.settings.clone(), &mut actions)?;
         let asks = member.settings.discovery != plan.settings.discovery;
         member.settings = plan.settings.clone();
         member.settings_document = plan.settings_document.clone();
@@ -196,19 +194,19 @@
     }
 
     /// An attempt has ended. The first one served is its call's answer.
-    pub fn attempt_ended(&self, request: &RequestId, attempt: AttemptNo, ending: Ending) {
+    pub fn attempt_ended(&self, request: &RequestId, attempt: AttemptNumber, ending: Ending) {
         let mut member = self.borrow();
         let served = ending.outcome == Outcome::Served;
         let Some(ended) = member.calls.end_attempt(request, attempt, served) else { return };
         if served && member.calls.answer(request) {
             member.fleet.counters.served();
         }
-        let event = Event::Outcome(Ended {
+        let event = Event::AttemptEnded(AttemptEnd {
             request: request.clone(),
             attempt,
             outcome: ending.outcome,
             took: member.clock.now().since(ended.sent),
-            terminal: ended.call_is_answered,
+            request_ended: ended.call_is_answered,
             report: ending.report,
         });
         drop(member);
@@ -218,29 +216,29 @@
 
     /// A probe has ended. It says nothing of a process that has been started since.
     pub fn probe_ended(&self, probe: &Probe, took: Duration, ending: Ending) {
-        if self.borrow().membership.up_since(&probe.endpoint) != Some(probe.up_since) {
+        if self.borrow().started_at(&probe.endpoint) != Some(probe.started_at) {
             return;
         }
         let (endpoint, Ending { outcome, report }) = (probe.endpoint.clone(), ending);
-        self.tell(Event::Probed { endpoint, outcome, took, report });
+        self.tell(Event::ProbeEnded { endpoint, outcome, took, report });
     }
 
     // ---- Endpoints ---------------------------------------------------------------------------------------
 
-    fn learn(&self, list: EndpointList, news: News) {
+    fn learn(&self, list: EndpointList, kind: ListKind) {
         let mut member = self.borrow();
-        let entries = member.membership.apply(&list, news).into();
+        let entries = member.membership.update(&list, kind).entries.into();
         let Identity { place, start } = member.identity;
         let milestones = &member.fleet.milestones[place];
         milestones.has_version(start, list.index);
-        let is_ready = member.membership.is_ready();
+        let is_ready = member.membership.serving().next().is_some();
         milestones.is_ready(start, is_ready);
         if is_ready && !member.has_callers {
             member.has_callers = true;
             spawn_local(calls::arrivals(self.clone()));
         }
         drop(member);
-        self.tell(Event::Members { version: list.index, news, entries });
+        self.tell(Event::EndpointList { version: list.index, kind, entries });
     }
 }
 
@@ -259,8 +257,8 @@
             return Ok(()); // the present one has spoken
         }
         drop(member);
-        let news = if list.snapshot { News::Full } else { News::Delta };
-        self.learn(list, news);
+        let kind = if list.snapshot { ListKind::Snapshot } else { ListKind::Changes };
+        self.learn(list, kind);
         Ok(())
     }
 
@@ -270,7 +268,7 @@
         member.fleet.milestones[member.identity.place].watches(member.identity.start, source.generation);
         drop(member);
         if let Some(version) = self.held_version(source) {
-            self.tell(Event::Members { version, news: News::Delta, entries: Arc::from([]) });
+            self.tell(Event::EndpointList { version, kind: ListKind::Changes, entries: Arc::from([]) });
         }
     }
 
@@ -279,9 +277,8 @@
         let mut member = self.borrow();
         if source == member.source {
             member.watch = None;
-            let version = member.membership.version().unwrap_or(0);
             drop(member);
-            self.tell(Event::Members { version, news: News::Failed, entries: Arc::from([]) });
+            self.tell(Event::DiscoveryFailed);
         }
     }
 
@@ -305,6 +302,12 @@
 }
 
 impl Member {
+    /// When an endpoint last started; none where it is not listed. Answers in memory have no addresses, so an endpoint that
+    /// starts at another's address does not replace it here.
+    fn started_at(&self, endpoint: &EndpointId) -> Option<Option<Timestamp>> {
+        self.membership.get(endpoint).map(|member| member.started_at)
+    }
+
     fn new_request(&mut self) -> Request {
         let class = self.random.random_range(0..self.classes.len());
         let Identity { place, start } = self.identity;
@@ -318,18 +321,18 @@
             deadline: self.clock.now() + self.settings.classes[class].deadline,
             cost_hint: None,
             client_retry: false,
-            write: self.settings.classes[class].effect != Effect::Safe,
+            write: self.settings.classes[class].idempotency != Idempotency::Idempotent,
         }
     }
 
     fn carry_out(&mut self, handle: &MemberHandle, action: Action) {
         match action {
             Action::Send { request, endpoint, timeout } => self.send(handle, request, endpoint, timeout),
-            Action::Abandon { request, attempt } => self.abandon(&request, attempt),
+            Action::Cancel { request, attempt } => self.abandon(&request, attempt),
             Action::Refuse { request, .. } | Action::Fail { request } => self.not_served(&request),
             Action::SetTimer { at, token } => self.set_timer(handle, at, token),
             // An agent that pushes is followed unasked.
-            Action::Subscribe(_) if self.settings.discovery == Discovery::Pushed => {}
+            Action::Subscribe(_) if self.settings.discovery == DiscoveryMode::Pushed => {}
             Action::Subscribe(false) => self.end_watch(),
             Action::Subscribe(true) => {
                 // A reload may have asked already; a second watch would cost discovery a call for nothing.
@@ -341,11 +344,11 @@
             Action::Probe { endpoint } => self.probe(handle, endpoint),
             Action::Log(text) => tracing::debug!(place = self.identity.place, "{text}"),
             // There are no connections, and no peers.
-            Action::CloseIdle { .. } | Action::Tell { .. } => {}
+            Action::CloseIdleConnections { .. } | Action::SendPeerMessage { .. } => {}
         }
     }
 
-    fn set_timer(&self, handle: &MemberHandle, at: Moment, token: u64) {
+    fn set_timer(&self, handle: &MemberHandle, at: Timestamp, token: u64) {
         let (handle, due) = (handle.clone(), self.clock.instant(at));
         spawn_local(async move {
             sleep_until(due).await;
@@ -356,8 +359,10 @@
     fn begin_watch(&mut self, handle: &MemberHandle) {
         let (consumer, source) = (handle.clone(), self.source);
         self.watch = Some(match self.settings.discovery {
-            Discovery::Pushed => Task::spawn(discovery::follow_agent(consumer, source)),
-            Discovery::Asked => Task::spawn(discovery::watch(consumer, source, self.membership.version())),
+            DiscoveryMode::Pushed => Task::spawn(discovery::follow_agent(consumer, source)),
+            DiscoveryMode::OnRequest => {
+                Task::spawn(discovery::watch(consumer, source, self.membership.version()))
+            }
         });
     }
 
@@ -376,7 +381,7 @@
     ) {
         let now = self.clock.now();
         let Some(next) = self.calls.next_attempt(&request) else { return };
-        if next.call_is_answered || !self.membership.knows(&endpoint) {
+        if next.call_is_answered || self.membership.get(&endpoint).is_none() {
             self.calls.begin_attempt(&request, now, None);
             self.events.push_back(unsent(request, next));
             return;
@@ -397,14 +402,14 @@
         self.calls.begin_attempt(&request, now, Some(task));
     }
 
-    fn abandon(&mut self, request: &RequestId, attempt: AttemptNo) {
+    fn abandon(&mut self, request: &RequestId, attempt: AttemptNumber) {
         let Some(ended) = self.calls.end_attempt(request, attempt, false) else { return };
-        self.events.push_back(Event::Outcome(Ended {
+        self.events.push_back(Event::AttemptEnded(AttemptEnd {
             request: request.clone(),
             attempt,
             outcome: Outcome::Cancelled,
             took: self.clock.now().since(ended.sent),
-            terminal: ended.call_is_answered,
+            request_ended: ended.call_is_answered,
             report: None,
         }));
         self.calls.forget_if_over(request);
@@ -418,12 +423,12 @@
     }
 
     fn probe(&mut self, handle: &MemberHandle, endpoint: EndpointId) {
-        let Some(up_since) = self.membership.up_since(&endpoint) else { return };
+        let Some(started_at) = self.started_at(&endpoint) else { return };
         self.fleet.counters.probe();
         let probe = Probe {
             simulated: self.fleet.endpoints.get(&endpoint),
             endpoint,
-            up_since,
+            started_at,
             connect_timeout: self.settings.limits.connect_timeout,
             reporting: self.settings.reporting,
         };
@@ -440,12 +445,12 @@
 
 /// The end of an attempt that has nowhere to go, or comes too late.
 fn unsent(request: RequestId, attempt: NextAttempt) -> Event {
-    Event::Outcome(Ended {
+    Event::AttemptEnded(AttemptEnd {
         request,
         attempt: attempt.number,
-        outcome: Outcome::Moot,
+        outcome: Outcome::NotSent,
         took: Duration::ZERO,
-        terminal: attempt.call_is_answered,
+        request_ended: attempt.call_is_answered,
         report: None,
     })
 }
--- a/lab/src/sidecar/hollow/plan.rs
+++ b/lab/src/sidecar/hollow/plan.rs
@@ -2,9 +2,9 @@
 
 use crate::discovery::{EndpointEntry, EndpointStatus};
 use crate::sidecar::configuration::SidecarConfiguration;
-use passproxy::api::Settings;
-use passproxy::discovery::{EndpointList, Entry, Status};
-use passproxy::wire;
+use pipittray::discovery::{EndpointList, Entry, Status};
+use pipittray::policy::Settings;
+use pipittray::settings_document::parse_settings;
 use serde_json::Value;
 use std::io;
 use std::net::SocketAddr;
@@ -24,7 +24,7 @@
     /// Settings that the decision module turns down.
     pub fn from_configuration(configuration: SidecarConfiguration) -> io::Result<Self> {
         let settings_document = configuration.settings();
-        let settings = wire::parse_settings(&settings_document.to_string());
+        let settings = parse_settings(&settings_document.to_string());
         let settings = settings.map_err(|error| invalid(&configuration.name, error))?;
         settings.check().map_err(|error| invalid(&configuration.name, error))?;
         Ok(MemberPlan {
--- a/lab/src/sidecar/hollow/thread.rs
+++ b/lab/src/sidecar/hollow/thread.rs
@@ -4,7 +4,7 @@
 use super::member::{Identity, MemberHandle};
 use super::plan::MemberPlan;
 use super::task::Task;
-use passproxy::api::SettingsError;
+use pipittray::policy::SettingsError;
 use std::collections::HashMap;
 use std::future::pending;
 use std::io;
--- a/lab/tests/sidecar_process.rs
+++ b/lab/tests/sidecar_process.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use passproxy::api::{Discovery, Effect, Reporting};
-use passproxy::wire;
+use pipittray::policy::{DiscoveryMode, Idempotency, Reporting};
+use pipittray::settings_document::parse_settings;
 use pipittray_lab::discovery::{EndpointEntry, EndpointStatus};
 use pipittray_lab::sidecar::configuration::{RequestClass, SidecarConfiguration};
 use pipittray_lab::sidecar::process::SidecarProcess;
@@ -98,19 +98,20 @@
 #[test]
 fn the_decision_module_accepts_the_settings() {
     let mut configuration = configuration(SocketAddr::from(([127, 0, 0, 1], 1)), Vec::new());
-    let settings = wire::parse_settings(&configuration.settings().to_string()).expect("settings");
+    let settings = parse_settings(&configuration.settings().to_string()).expect("settings");
     settings.check().expect("settings that make sense");
-    assert_eq!((settings.balancers, settings.me.0, settings.zones), (3, 1, 2));
+    assert_eq!((settings.balancers, settings.instance.0, settings.zones), (3, 1, 2));
     assert_eq!((settings.tier, settings.tiers), (0, 2));
-    assert_eq!(settings.discovery, Discovery::Asked);
+    assert_eq!(settings.discovery, DiscoveryMode::OnRequest);
     assert_eq!(settings.reporting, Reporting::WithAnswers);
-    let classes: Vec<(&str, Effect)> = settings.classes.iter().map(|c| (&*c.name, c.effect)).collect();
-    assert_eq!(classes, [("browse", Effect::Safe), ("order", Effect::Unsafe)]);
+    let classes: Vec<(&str, Idempotency)> =
+        settings.classes.iter().map(|c| (&*c.name, c.idempotency)).collect();
+    assert_eq!(classes, [("browse", Idempotency::Idempotent), ("order", Idempotency::Unsafe)]);
 
     configuration.lists_are_pushed = true;
     configuration.probes = true;
-    let settings = wire::parse_settings(&configuration.settings().to_string()).expect("settings");
-    assert_eq!(settings.discovery, Discovery::Pushed);
+    let settings = parse_settings(&configuration.settings().to_string()).expect("settings");
+    assert_eq!(settings.discovery, DiscoveryMode::Pushed);
     assert_eq!(settings.reporting, Reporting::WithProbes);
     assert!(settings.limits.probes);
 }
--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -1,9 +1,12 @@
 //! Calls of discovery and watches on it, each on a connection of its own.
 
 use super::backoff::Backoff;
+use super::consumer::ListConsumer;
+use super::error::DiscoveryError;
+use super::list::EndpointList;
 use super::patient_call;
-use super::{DiscoveryError, EndpointList, ListConsumer, Source};
-use crate::api::DISCOVERY_TIMEOUT;
+use super::source::Source;
+use crate::policy::DISCOVERY_TIMEOUT;
 use bytes::{Buf, BytesMut};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
--- a/src/discovery/list.rs
+++ b/src/discovery/list.rs
@@ -1,6 +1,6 @@
 //! Discovery's messages.
 
-use crate::api::{CellId, Listing, Moment, Readiness};
+use crate::policy::{EndpointEntry, GroupId, Readiness, Timestamp};
 use serde::Deserialize;
 use std::net::SocketAddr;
 
@@ -58,20 +58,20 @@
     }
 
     /// The entry as the decision module knows it, on a clock that gives Unix time: starts need no mapping then.
-    pub fn listing(&self) -> Listing {
-        Listing {
+    pub fn endpoint_entry(&self) -> EndpointEntry {
+        EndpointEntry {
             endpoint: self.name.as_str().into(),
             zone: self.zone.as_str().into(),
             kind: self.kind.as_str().into(),
-            cell: CellId(self.group),
+            group: GroupId(self.group),
             readiness: match self.status {
                 Status::Serving => Readiness::Up,
                 Status::Draining => Readiness::Draining,
-                Status::Deleted => Readiness::Gone,
+                Status::Deleted => Readiness::Removed,
             },
             size: self.weight,
-            up_since: (self.since_ms > 0)
-                .then(|| Moment::from_nanos(self.since_ms.saturating_mul(1_000_000))),
+            started_at: (self.since_ms > 0)
+                .then(|| Timestamp::from_nanos(self.since_ms.saturating_mul(1_000_000))),
         }
     }
 }
--- a/src/discovery/patient_call.rs
+++ b/src/discovery/patient_call.rs
@@ -5,8 +5,8 @@
 //! as it lasts (congestion collapse). A call that is late may on the other hand have been lost on the network, so
 //! another is made beside it: the oldest keeps its place, and the newest finds out whether discovery can be reached.
 
-use super::DiscoveryError;
 use super::backoff::Backoff;
+use super::error::DiscoveryError;
 use bytes::Bytes;
 use http_body_util::Empty;
 use hyper::body::Incoming;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,32 +1,36 @@
-//! A load balancer's decisions for services that call services: sans I/O, one instance per caller.
+//! A sidecar that balances a service's calls over endpoints, with overload control.
 //!
-//! The interface is in [`api`], every decision in [`choice`], the simulator's wire in [`wire`]. A host feeds
-//! events to [`choice::Balancer::handle`] and carries out the actions that come back, in order. [`discovery`] is
-//! no part of the decisions: it is the client that hosts with real sockets share.
+//! | module | what it is |
+//! | --- | --- |
+//! | [`policy`] | every decision, sans I/O: one [`policy::Balancer`] per caller takes events and returns actions |
+//! | [`discovery`] | the client of discovery, for hosts with real sockets |
+//! | [`settings_document`] | the settings as JSON |
+//! | [`simulator`] | the simulator's wire, and the adapter that speaks it |
+//! | [`sidecar`] | the sidecar: sockets, HTTP, connection pools, time |
 //!
 //! ```
-//! use passproxy::api::*;
-//! use passproxy::choice::Balancer;
+//! use pipittray::policy::*;
 //! use std::time::Duration;
 //!
 //! let second = Duration::from_secs(1);
-//! let look_up = Class::new("look-up", 1.0, Effect::Safe, second, 3 * second);
+//! let look_up = Class::new("look-up", 1.0, Idempotency::Idempotent, second, 3 * second);
 //! let settings = Settings { balancers: 2, ..Settings::new("here".into(), vec![look_up]) };
 //! let mut balancer = Balancer::new(settings, 42)?;
 //! let mut actions = Vec::new();
-//! let now = Moment::from_nanos(1_000_000_000);
+//! let now = Timestamp::from_nanos(1_000_000_000);
 //!
 //! // First the endpoints, then a request.
-//! let entries = vec![Listing {
+//! let entries = vec![EndpointEntry {
 //!     endpoint: "box-1".into(),
 //!     zone: "here".into(),
 //!     kind: "box".into(),
-//!     cell: CellId(0),
+//!     group: GroupId(0),
 //!     readiness: Readiness::Up,
 //!     size: 1.0,
-//!     up_since: None,
+//!     started_at: None,
 //! }];
-//! balancer.handle(now, Event::Members { version: 1, news: News::Stale, entries: entries.into() }, &mut actions);
+//! let list = Event::EndpointList { version: 1, kind: ListKind::Cached, entries: entries.into() };
+//! balancer.handle(now, list, &mut actions);
 //! let request = Request {
 //!     id: "r-1".into(),
 //!     class: ClassId(0),
@@ -44,8 +48,9 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod api;
-pub mod choice;
+mod backoff;
 pub mod discovery;
-mod state;
-pub mod wire;
+pub mod policy;
+pub mod settings_document;
+pub mod sidecar;
+pub mod simulator;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,7 @@
+//! The sidecar, as a program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    pipittray::sidecar::main()
+}
--- /dev/null
+++ b/src/policy/attempt_end.rs
@@ -0,0 +1,84 @@
+//! What the end of an attempt means: for its request, a retry or the final answer; for its endpoint, news of
+//! its state.
+
+use super::action::Action;
+use super::balancer::Balancer;
+use super::endpoint::EndpointIndex;
+use super::event::{AttemptEnd, Outcome, Request};
+use super::pending::{AttemptState, PendingRequest};
+use super::time::Timestamp;
+
+/// A time-out is held against its endpoint from this multiple of the expected time on: a request that came
+/// nearly out of time proves nothing.
+const TELLING_TIMEOUT: f64 = 2.0;
+
+impl Balancer {
+    /// An attempt has ended.
+    pub(super) fn attempt_ended(&mut self, now: Timestamp, ended: &AttemptEnd, actions: &mut Vec<Action>) {
+        let Some(mut pending) = self.requests.remove(&ended.request) else { return };
+        let attempt = pending.attempts.get_mut(ended.attempt);
+        let Some(attempt) = attempt.filter(|a| a.state == AttemptState::InFlight) else {
+            return self.keep_while_open(pending);
+        };
+        let proves_not_run = ended.outcome.proves_not_run();
+        attempt.state = if proves_not_run { AttemptState::NotRun } else { AttemptState::MayHaveRun };
+        let e = attempt.endpoint;
+        self.free_or_await(e, &pending, ended.outcome);
+        self.close_idle_if_draining(e, actions);
+        self.rest_key(now, &pending, ended.outcome);
+        self.learn_from(now, e, &pending.request, ended);
+        if ended.request_ended && !pending.is_answered {
+            self.requests.insert(ended.request.clone(), pending);
+            return self.request_over(&ended.request, None, actions);
+        }
+        if !pending.is_answered && !pending.has_attempts_in_flight() {
+            self.retry_or_answer(now, &mut pending, actions);
+        }
+        self.keep_while_open(pending);
+    }
+
+    /// Has the request's key rest, where the attempt may run on.
+    fn rest_key(&mut self, now: Timestamp, pending: &PendingRequest, outcome: Outcome) {
+        let may_run_on = matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
+        let pause = self.settings.rules.order_pause.filter(|_| may_run_on);
+        if let (Some(pause), Some(key)) = (pause, &pending.request.key) {
+            self.key_order.rest(key, now + pause);
+        }
+    }
+
+    fn retry_or_answer(&mut self, now: Timestamp, pending: &mut PendingRequest, actions: &mut Vec<Action>) {
+        let is_in_time = pending.useful_until.since(now) > self.expected_time(&pending.request);
+        let may_retry = self.retry_budget.has_token() && is_in_time;
+        if !may_retry || self.retry_scope(now, pending).is_none() {
+            return self.refuse_or_fail(now, pending, actions);
+        }
+        self.retry_budget.spend();
+        if !self.try_send(now, pending, actions) {
+            pending.hold_until = pending.hold_until.max(now + self.settings.tick);
+            self.held.push(pending);
+        }
+    }
+
+    /// What the end says of the endpoint.
+    fn learn_from(&mut self, now: Timestamp, e: EndpointIndex, request: &Request, ended: &AttemptEnd) {
+        let telling = self.expected_time(request).mul_f64(TELLING_TIMEOUT);
+        match ended.outcome {
+            Outcome::TimedOut if ended.took < telling => return,
+            Outcome::Cancelled | Outcome::NotSent => return,
+            _ => self.count_failure(now, e, request, ended),
+        }
+        if ended.outcome == Outcome::Error {
+            return; // it is quick, and may come from the tier below: it says nothing of the queue
+        }
+        if ended.outcome == Outcome::Served {
+            self.learn_answer_time(e, request, ended);
+        }
+        let reported = ended.report.as_ref().map(Self::reported_depth);
+        // A broken connection or answer is a failure, and says nothing of the queue either.
+        let met_queue = matches!(ended.outcome, Outcome::Rejected | Outcome::TimedOut);
+        let stand_in = met_queue.then_some(self.thresholds.highest_onset());
+        if let Some(depth) = reported.into_iter().chain(stand_in).reduce(f64::max) {
+            self.judge(now, e, depth);
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/balancer.rs
@@ -0,0 +1,101 @@
+//! The state of one instance. No decision is made here.
+
+use super::arrival_rate::ArrivalRate;
+use super::class::ClassState;
+use super::discovery_schedule::DiscoverySchedule;
+use super::endpoint::{Endpoint, EndpointIndex};
+use super::held_requests::HeldRequests;
+use super::id::{EndpointId, RequestId};
+use super::key_order::KeyOrder;
+use super::mean_depths::MeanDepths;
+use super::pending::PendingRequest;
+use super::random::SeededRandom;
+use super::settings::Settings;
+use super::thresholds::Thresholds;
+use super::time::Timestamp;
+use super::token_budget::TokenBudget;
+use std::collections::{HashMap, HashSet, VecDeque};
+
+/// One instance of the balancer.
+pub struct Balancer {
+    pub(super) settings: Settings,
+    pub(super) random: SeededRandom,
+    pub(super) endpoints: Vec<Endpoint>,
+    pub(super) endpoint_index: HashMap<EndpointId, EndpointIndex>,
+    /// Places of endpoints that are forgotten, to be given again.
+    pub(super) free_places: Vec<EndpointIndex>,
+    /// Endpoints that the operators have disabled; some may not be listed now.
+    pub(super) disabled: HashSet<EndpointId>,
+    /// Endpoints that take work, in the own zone and in others where crossings are dear.
+    pub(super) local: Vec<EndpointIndex>,
+    pub(super) remote: Vec<EndpointIndex>,
+    /// The parts of both that this instance sends to.
+    pub(super) subset: Vec<EndpointIndex>,
+    pub(super) remote_subset: Vec<EndpointIndex>,
+    pub(super) thresholds: Thresholds,
+    pub(super) mean_depths: MeanDepths,
+    /// The tier's mean answer time over the unloaded one.
+    pub(super) mean_stretch: f64,
+    /// By class, also those that have left the settings.
+    pub(super) classes: Vec<ClassState>,
+    /// Requests of each tenant, fading with the arrival rate.
+    pub(super) tenant_rates: Vec<f64>,
+    pub(super) arrival_rate: ArrivalRate,
+    pub(super) requests: HashMap<RequestId, PendingRequest>,
+    pub(super) held: HeldRequests,
+    pub(super) key_order: KeyOrder,
+    /// Attempts in flight, and those timed out that may run on.
+    pub(super) attempts_in_flight: u32,
+    /// Attempts that timed out, by their deadlines.
+    pub(super) overdue_attempts: VecDeque<(Timestamp, EndpointIndex)>,
+    pub(super) retry_budget: TokenBudget,
+    pub(super) probe_budget: TokenBudget,
+    /// Own sends, counted ahead for requests that no sound endpoint can take: the clock of the cold ramp.
+    pub(super) cold_clock: f64,
+    /// When a request that must not run twice was last lost.
+    pub(super) unsafe_lost_at: Option<Timestamp>,
+    pub(super) discovery_schedule: DiscoverySchedule,
+    /// When the timer that the host was last asked for expires.
+    pub(super) timer_at: Option<Timestamp>,
+}
+
+/// What requests have paid for.
+pub(super) struct Budgets {
+    pub(super) retries: TokenBudget,
+    pub(super) probes: TokenBudget,
+}
+
+impl Balancer {
+    /// An instance that knows of no endpoint yet, and has no worth level.
+    pub(super) fn blank(settings: Settings, seed: u64, classes: Vec<ClassState>, budgets: Budgets) -> Self {
+        Balancer {
+            random: SeededRandom::new(seed),
+            endpoints: Vec::new(),
+            endpoint_index: HashMap::new(),
+            free_places: Vec::new(),
+            disabled: HashSet::new(),
+            local: Vec::new(),
+            remote: Vec::new(),
+            subset: Vec::new(),
+            remote_subset: Vec::new(),
+            thresholds: Thresholds::default(),
+            mean_depths: MeanDepths::default(),
+            mean_stretch: 1.0,
+            classes,
+            tenant_rates: vec![0.0; settings.tenants.len()],
+            arrival_rate: ArrivalRate::default(),
+            requests: HashMap::new(),
+            held: HeldRequests::default(),
+            key_order: KeyOrder::default(),
+            attempts_in_flight: 0,
+            overdue_attempts: VecDeque::new(),
+            retry_budget: budgets.retries,
+            probe_budget: budgets.probes,
+            cold_clock: 0.0,
+            unsafe_lost_at: None,
+            discovery_schedule: DiscoverySchedule::default(),
+            timer_at: None,
+            settings,
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/instance.rs
@@ -0,0 +1,116 @@
+//! One instance: its start, its settings, and what it does with each event.
+
+use super::action::Action;
+use super::answer_time::FIRST_GUESS;
+use super::balancer::{Balancer, Budgets};
+use super::class::ClassState;
+use super::event::Event;
+use super::id::ClassId;
+use super::probing::MOST_PROBES_SAVED;
+use super::retry::MOST_RETRIES_SAVED;
+use super::settings::{Class, Settings};
+use super::settings_check::SettingsError;
+use super::time::Timestamp;
+use super::token_budget::TokenBudget;
+use super::worth_level::RETIRED_CLASS_KEPT;
+
+impl Balancer {
+    /// A fresh instance. The same settings, seed and events give the same actions.
+    ///
+    /// # Errors
+    /// Settings that make no sense are named; see [`Settings::check`].
+    pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
+        settings.check()?;
+        let classes = settings.classes.iter().map(new_class).collect();
+        let budgets = Budgets {
+            retries: TokenBudget::new(MOST_RETRIES_SAVED),
+            probes: TokenBudget::new(MOST_PROBES_SAVED),
+        };
+        let mut balancer = Balancer::blank(settings, seed, classes, budgets);
+        balancer.set_levels();
+        Ok(balancer)
+    }
+
+    /// Goes on with other settings, and returns the ids of their classes, in their order. A class that is as
+    /// it was keeps its id; any other gets one of its own, as requests under way keep the class they came
+    /// with. What is held and known goes on under the new thresholds.
+    ///
+    /// # Errors
+    /// Settings that make no sense are named, and all stays as it was.
+    pub fn change_settings(
+        &mut self,
+        now: Timestamp,
+        settings: Settings,
+        actions: &mut Vec<Action>,
+    ) -> Result<Vec<ClassId>, SettingsError> {
+        settings.check()?;
+        let had_tenants = !self.settings.tenants.is_empty();
+        let ids = self.replace_settings(now, settings);
+        let held = self.held.take_all();
+        self.set_levels();
+        self.set_levels_of_requests(had_tenants);
+        for id in held {
+            if let Some(pending) = self.requests.get(&id) {
+                self.held.push(pending);
+            }
+        }
+        self.judge_by_new_thresholds();
+        self.set_localities();
+        self.regroup(now);
+        self.release(now, actions);
+        self.set_timer(now, actions);
+        Ok(ids)
+    }
+
+    fn replace_settings(&mut self, now: Timestamp, mut settings: Settings) -> Vec<ClassId> {
+        let position = |name: &str| self.settings.tenants.iter().position(|t| t.name == name);
+        let rates = settings.tenants.iter().map(|t| position(&t.name).map_or(0.0, |p| self.tenant_rates[p]));
+        self.tenant_rates = rates.collect();
+        // The table of classes goes on: requests under way name its rows.
+        let table = std::mem::take(&mut self.settings.classes);
+        let classes = std::mem::replace(&mut settings.classes, table);
+        self.settings = settings;
+        for state in &mut self.classes {
+            state.retired_at = state.retired_at.or(Some(now));
+        }
+        let place = |class: Class| {
+            let first_guess = class.objective.as_secs_f64() * FIRST_GUESS;
+            self.place_class(now, class, first_guess, RETIRED_CLASS_KEPT)
+        };
+        classes.into_iter().map(place).collect()
+    }
+
+    /// Takes one event and adds what is to be done to `actions`.
+    pub fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
+        self.arrival_rate.observe_from(now);
+        self.free_overdue(now);
+        self.key_order.forget_rested(now);
+        self.dispatch(now, event, actions);
+        self.probe(now, actions);
+        self.release(now, actions);
+        self.set_timer(now, actions);
+    }
+
+    fn dispatch(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::EndpointList { kind, entries, .. } => self.update_endpoints(now, kind, &entries, actions),
+            Event::DiscoveryFailed => self.discovery_failed(now),
+            Event::EndpointDisabled(endpoint) => self.disable(now, endpoint, actions),
+            Event::EndpointEnabled(endpoint) => self.enable(now, &endpoint),
+            Event::Request(request) if self.is_valid(&request) => self.admit(now, request, actions),
+            Event::StreamStarted { request, attempt } => self.request_over(&request, Some(attempt), actions),
+            Event::BodyConsumed { request } => self.body_consumed(&request),
+            Event::ClientDisconnected { request } => self.request_over(&request, None, actions),
+            Event::AttemptEnded(ended) => self.attempt_ended(now, &ended, actions),
+            Event::Timer { token } => self.timer_expired(token),
+            Event::ProbeEnded { endpoint, outcome, report, .. } => {
+                self.probe_ended(now, &endpoint, outcome, report.as_ref());
+            }
+            Event::Request(_) | Event::PeerMessage { .. } => {}
+        }
+    }
+}
+
+fn new_class(class: &Class) -> ClassState {
+    ClassState { usual_time: class.objective.as_secs_f64() * FIRST_GUESS, ..ClassState::default() }
+}
--- /dev/null
+++ b/src/policy/probing.rs
@@ -0,0 +1,59 @@
+//! Probes of endpoints whose queues no answer tells of, and what they may cost.
+
+use super::action::Action;
+use super::balancer::Balancer;
+use super::event::{LoadReport, Outcome};
+use super::id::EndpointId;
+use super::settings::Reporting;
+use super::time::Timestamp;
+use std::time::Duration;
+
+/// Probes that a request pays for. With one a request they took the requests' places in short queues.
+const PROBES_PER_REQUEST: f64 = 0.15;
+/// How many may be saved up.
+pub(super) const MOST_PROBES_SAVED: f64 = 4.0;
+/// The part of the result that they may cost.
+const SPENDING_LIMIT: f64 = 0.03;
+/// The least price that the limit is divided by.
+const LEAST_PRICE: f64 = 1e-6;
+/// Least time between two probes of an endpoint: its report is refreshed about as often.
+const PROBE_GAP: Duration = Duration::from_millis(100);
+
+impl Balancer {
+    /// Counts what a request pays for: nothing where answers bring reports, and little where probes are dear.
+    pub(super) fn earn_probes(&mut self) {
+        let are_needed = self.settings.limits.probes && self.settings.reporting == Reporting::WithProbes;
+        let affordable = SPENDING_LIMIT / self.settings.prices.probe.max(LEAST_PRICE);
+        self.probe_budget.earn(if are_needed { PROBES_PER_REQUEST.min(affordable) } else { 0.0 });
+    }
+
+    /// Probes subset members, the longest unheard of first, as far as the budget goes.
+    pub(super) fn probe(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        while self.probe_budget.has_token() {
+            let next_probe = |e: &&usize| self.endpoints[**e].next_probe;
+            let due = self.subset.iter().filter(|e| now >= next_probe(e));
+            let Some(e) = due.min_by_key(next_probe).copied() else { return };
+            self.probe_budget.spend();
+            let known = &mut self.endpoints[e];
+            known.next_probe = now + PROBE_GAP;
+            actions.push(Action::Probe { endpoint: known.id.clone() });
+        }
+    }
+
+    /// Learns what a probe says of its endpoint: one rejected or not answered in time met a queue. Guards
+    /// against hearing none but those that have room.
+    pub(super) fn probe_ended(
+        &mut self,
+        now: Timestamp,
+        endpoint: &EndpointId,
+        outcome: Outcome,
+        report: Option<&LoadReport>,
+    ) {
+        let Some(e) = self.endpoint_index.get(endpoint).copied() else { return };
+        let met_queue = matches!(outcome, Outcome::TimedOut | Outcome::Rejected);
+        let stand_in = met_queue.then_some(self.thresholds.highest_onset());
+        if let Some(depth) = report.map(Self::reported_depth).or(stand_in) {
+            self.judge(now, e, depth);
+        }
+    }
+}
--- /dev/null
+++ b/src/policy/random.rs
@@ -0,0 +1,28 @@
+//! The seeded random source of one instance.
+
+use rand_core::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Random numbers that the same seed gives again.
+#[derive(Debug)]
+pub(crate) struct SeededRandom(Pcg64Mcg);
+
+impl SeededRandom {
+    pub(crate) fn new(seed: u64) -> Self {
+        SeededRandom(Pcg64Mcg::seed_from_u64(seed))
+    }
+
+    fn bits(&mut self) -> u64 {
+        self.0.next_u64()
+    }
+
+    /// From 0 up to, not including, 1.
+    pub(crate) fn unit(&mut self) -> f64 {
+        (self.bits() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// From 0 up to, not including, `bound`; 0 where that is 0.
+    pub(crate) fn below(&mut self, bound: usize) -> usize {
+        ((u128::from(self.bits()) * bound as u128) >> 64) as usize
+    }
+}
--- /dev/null
+++ b/src/policy/send.rs
@@ -0,0 +1,65 @@
+//! The send of an attempt, and the one final answer to a request that no attempt serves.
+
+use super::action::Action;
+use super::balancer::Balancer;
+use super::pending::{Attempt, AttemptState, PendingRequest};
+use super::time::Timestamp;
+use std::time::Duration;
+
+impl Balancer {
+    /// Sends a request, if it has its turn and an endpoint takes it.
+    pub(super) fn try_send(
+        &mut self,
+        now: Timestamp,
+        pending: &mut PendingRequest,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let scope = self.retry_scope(now, pending).filter(|_| self.key_order.has_turn(now, pending));
+        let Some(scope) = scope else { return false };
+        let Some(e) = self.pick(now, pending, &scope) else { return false };
+        self.count_send(pending);
+        self.take_place(e);
+        let gap = self.gap(now, self.endpoints[e].depth);
+        let cold_turn = self.next_cold_turn(now, e);
+        let timeout = self.attempt_timeout(now, pending);
+        let known = &mut self.endpoints[e];
+        known.awaits_first_send = false;
+        known.last_send = now;
+        known.gap_ends = now + gap;
+        known.cold_turn = cold_turn;
+        pending.attempts.push(Attempt { endpoint: e, sent: now, state: AttemptState::InFlight });
+        let request = pending.request.id.clone();
+        actions.push(Action::Send { request, endpoint: known.id.clone(), timeout });
+        true
+    }
+
+    /// How long an attempt is waited for. Some servers drop waiting work that is cancelled: what earns
+    /// nothing any more holds up the rest.
+    fn attempt_timeout(&self, now: Timestamp, pending: &PendingRequest) -> Option<Duration> {
+        let class = &self.settings.classes[pending.request.class.0];
+        (class.late_share == 0.0).then_some(pending.useful_until.since(now))
+    }
+
+    /// When whoever is refused is to come back, as far as it may be said. A client that comes back at once
+    /// meets the same overload, and its answer would be late.
+    pub fn retry_after(&self) -> Option<Duration> {
+        self.settings.limits.retry_after.then_some(self.settings.limits.max_retry_after)
+    }
+
+    /// Gives the final answer to a request that is not served.
+    pub(super) fn refuse_or_fail(
+        &mut self,
+        now: Timestamp,
+        pending: &mut PendingRequest,
+        actions: &mut Vec<Action>,
+    ) {
+        pending.is_answered = true;
+        let request = pending.request.id.clone();
+        let action = if self.is_retry_harmless(now, pending) {
+            Action::Refuse { request, retry_after: self.retry_after() }
+        } else {
+            Action::Fail { request }
+        };
+        actions.push(action);
+    }
+}
--- /dev/null
+++ b/src/policy/status.rs
@@ -0,0 +1,47 @@
+//! How an instance stands, for the operators.
+
+use super::balancer::Balancer;
+use super::time::Timestamp;
+
+/// Counts of requests and of endpoints.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BalancerStatus {
+    /// Requests kept, answered or not.
+    pub open: usize,
+    /// Requests that wait to be sent.
+    pub held: usize,
+    /// Attempts in flight, and those timed out that may run on.
+    pub in_flight: usize,
+    /// Endpoints at which no worth level is throttled.
+    pub clear: usize,
+    /// Endpoints at which some level is held to the gap, or worse.
+    pub gapping: usize,
+    /// Endpoints at which some level is discarded.
+    pub discarding: usize,
+    /// Endpoints whose state was told and has not lapsed.
+    pub informed: usize,
+    /// Listed endpoints that get nothing now: they drain, are disabled, or discard every worth level.
+    pub avoided: usize,
+}
+
+impl Balancer {
+    /// How the instance stands.
+    pub fn status(&self, now: Timestamp) -> BalancerStatus {
+        let mut status = BalancerStatus {
+            open: self.requests.len(),
+            held: self.held.len(),
+            in_flight: self.attempts_in_flight as usize,
+            avoided: self.endpoints.iter().filter(|e| e.is_listed && !e.is_available).count(),
+            ..BalancerStatus::default()
+        };
+        for e in (0..self.endpoints.len()).filter(|e| self.endpoints[*e].is_available) {
+            let throttling = self.throttling(now, e);
+            status.clear += usize::from(throttling.gapping == 0);
+            status.gapping += usize::from(throttling.gapping > 0);
+            status.discarding += usize::from(throttling.discarding > 0);
+            status.informed += usize::from(now < self.endpoints[e].state_expires);
+            status.avoided += usize::from(throttling.discarding == self.thresholds.level_count());
+        }
+        status
+    }
+}
--- /dev/null
+++ b/src/policy/time.rs
@@ -0,0 +1,39 @@
+//! The host's clock, as the decision module sees it.
+
+use std::time::Duration;
+
+/// The longest span that computed seconds may stand for, some thirty years: sums and small multiples of it
+/// never overflow.
+const LONGEST_SECONDS: f64 = 1e9;
+
+/// A point on the host's clock, which starts anywhere and only moves forward.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Timestamp(u64);
+
+impl Timestamp {
+    /// A point in time, in nanoseconds on the host's clock.
+    pub const fn from_nanos(nanos: u64) -> Self {
+        Timestamp(nanos)
+    }
+    /// Nanoseconds on the host's clock.
+    pub const fn as_nanos(self) -> u64 {
+        self.0
+    }
+    /// The time since `earlier`, or zero if `earlier` is later.
+    pub fn since(self, earlier: Timestamp) -> Duration {
+        Duration::from_nanos(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl std::ops::Add<Duration> for Timestamp {
+    type Output = Timestamp;
+    fn add(self, by: Duration) -> Timestamp {
+        Timestamp(self.0.saturating_add(u64::try_from(by.as_nanos()).unwrap_or(u64::MAX)))
+    }
+}
+
+/// A duration from computed seconds: zero where negative or not a number.
+pub(super) fn duration_from_seconds(seconds: f64) -> Duration {
+    let bounded = if seconds > LONGEST_SECONDS { LONGEST_SECONDS } else { seconds };
+    Duration::try_from_secs_f64(bounded).unwrap_or_default()
+}
--- /dev/null
+++ b/src/policy/timer.rs
@@ -0,0 +1,36 @@
+//! The one timer of an instance: the next call of discovery, and the next chance of a held request.
+
+use super::action::Action;
+use super::balancer::Balancer;
+use super::time::{Timestamp, duration_from_seconds};
+
+impl Balancer {
+    /// Asks for a watch where it is due, and sets the timer where something is due before it.
+    pub(super) fn set_timer(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        if self.discovery_schedule.take_due(now) {
+            actions.push(Action::Subscribe(true));
+        }
+        let held = (!self.held.is_empty()).then(|| self.next_chance(now));
+        let due = self.discovery_schedule.next_call.into_iter().chain(held).min();
+        if let Some(at) = due.filter(|at| self.timer_at.is_none_or(|set| *at < set)) {
+            self.timer_at = Some(at);
+            actions.push(Action::SetTimer { at, token: at.as_nanos() });
+        }
+    }
+
+    /// When a held request may have somewhere to go, or expires: at the next end of a gap or of a key's rest,
+    /// and in any case after an unloaded answer time.
+    fn next_chance(&self, now: Timestamp) -> Timestamp {
+        let soon = now + duration_from_seconds(self.unloaded_time());
+        let gaps = self.subset.iter().map(|e| self.endpoints[*e].gap_ends).filter(|at| *at > now);
+        let first = gaps.chain(self.key_order.first_rest_ends());
+        let first = first.fold(soon.min(self.held.next_expiry), Timestamp::min);
+        first.max(now + self.settings.tick)
+    }
+
+    /// A timer has expired. It is known by its name, not by the time: a host's timer that came a hair early
+    /// left all later ones unset.
+    pub(super) fn timer_expired(&mut self, token: u64) {
+        self.timer_at = self.timer_at.filter(|at| at.as_nanos() != token);
+    }
+}
--- a/src/bin/rowanway/bodies.rs
+++ b/src/sidecar/bodies.rs
@@ -4,10 +4,10 @@
 //! be found broken before a client has seen any of it. Of a larger one no more than that is ever held: the rest is read
 //! when the other side has taken what came before.
 
-use crate::counters::Ticket;
-use crate::endpoints::{Link, Place, Wire};
-use crate::inbound::Traffic;
-use crate::node::Handle;
+use crate::sidecar::counters::Ticket;
+use crate::sidecar::endpoints::{Link, Place, Wire};
+use crate::sidecar::inbound::Traffic;
+use crate::sidecar::node::Handle;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::StatusCode;
--- /dev/null
+++ b/src/sidecar/caller/drain_state.rs
@@ -0,0 +1,12 @@
+//! How far a drain by the operators is.
+
+/// How far a drain is. From its start on the front is told not to send anyone here.
+#[derive(Clone, Copy, PartialEq)]
+pub enum DrainState {
+    /// The front has to ask first, and callers still come: all as ever.
+    Begun,
+    /// Each connection closes with its next answer.
+    Leaving,
+    /// None is kept.
+    Empty,
+}
--- /dev/null
+++ b/src/sidecar/endpoint/mod.rs
@@ -0,0 +1,28 @@
+//! Endpoints: connections to them, attempts and probes over these.
+//!
+//! A connection carries one attempt at a time and nothing is ever sent again here once a byte of it was written: what may
+//! have run is for the decision module to weigh. What attempts need of the sidecar is in [`EndpointHost`].
+
+mod attempt;
+mod attempt_result;
+mod connect;
+mod connection;
+mod dial;
+mod forward;
+mod host;
+mod load_report;
+mod outgoing;
+mod pool;
+mod probe;
+mod response;
+mod streamed;
+mod write_progress;
+
+pub use attempt::attempt;
+pub use attempt_result::{AnswerBody, AttemptResult, ServedAnswer};
+pub use connection::EndpointConnection;
+pub use forward::{AttemptOrder, DEADLINE_HEADER, ForwardedRequest, Target, end_to_end};
+pub use host::{DialPermit, EndpointHost};
+pub use pool::{ConnectionPool, SweepSchedule};
+pub use probe::probe;
+pub use streamed::StreamedAnswer;
--- /dev/null
+++ b/src/sidecar/mod.rs
@@ -0,0 +1,36 @@
+//! The sidecar: one program that balances its callers' requests over endpoints, as the decision module says.
+//!
+//! Its layers, of which each imports those above it alone:
+//!
+//! | layer | files |
+//! | --- | --- |
+//! | foundations | `log.rs`, `clock.rs`, `task.rs`, `sockets.rs`, `descriptors.rs`, `memory.rs`, `figures.rs`, `counters.rs`, `config.rs` |
+//! | bodies | `body/` |
+//! | connections | `endpoint/`: to endpoints; `caller/`: of callers; `upgrade/`: to other processes |
+//! | requests and attempts | `node/`: the one owner of their state, and the only place that calls the decision module |
+//! | addresses | `server/`: the callers'; `operators.rs`: the operators'; `handover.rs`: the next process's; `report.rs`: the log |
+//! | process | `process.rs` |
+
+#[macro_use]
+mod log;
+
+mod body;
+mod caller;
+mod clock;
+mod config;
+mod counters;
+mod descriptors;
+mod endpoint;
+mod figures;
+mod handover;
+mod memory;
+mod node;
+mod operators;
+mod process;
+mod report;
+mod server;
+mod sockets;
+mod task;
+mod upgrade;
+
+pub use process::main;
--- /dev/null
+++ b/src/sidecar/node/attempts.rs
@@ -0,0 +1,86 @@
+//! Attempts from their sends to their ends.
+
+use super::open_request::{OpenAttempt, OpenRequest};
+use super::state::{Node, NodeHandle};
+use crate::policy::{
+    AttemptEnd, AttemptNumber, EndpointId, Event, LoadReport, Outcome, Readiness, RequestId, Timestamp,
+};
+use crate::sidecar::endpoint::{self, AttemptOrder, Target};
+use crate::sidecar::task::Task;
+use std::time::Duration;
+
+impl Node {
+    /// Where an endpoint listens, if it is listed.
+    pub(super) fn target(&self, endpoint: &EndpointId) -> Option<Target> {
+        let member = self.membership.get(endpoint)?;
+        let (address, started_at) = (member.address, member.started_at);
+        Some(Target { endpoint: endpoint.clone(), address, started_at })
+    }
+
+    /// Whether an endpoint's process takes work, by the list and by the operators.
+    pub(super) fn takes_work(&self, target: &Target) -> bool {
+        self.membership.get(&target.endpoint).is_some_and(|member| {
+            let is_same = member.started_at == target.started_at && member.address == target.address;
+            member.readiness == Readiness::Up && is_same
+        }) && !self.is_disabled(&target.endpoint)
+    }
+
+    /// Starts an attempt, if its request still wants an answer and its endpoint is still listed.
+    pub(super) fn send(
+        &mut self,
+        handle: &NodeHandle,
+        request: RequestId,
+        endpoint: EndpointId,
+        timeout: Option<Duration>,
+    ) {
+        let now = self.clock.now();
+        let target = self.target(&endpoint);
+        let Some(open) = self.open.get_mut(&request) else { return };
+        let attempt = open.attempts.len();
+        let task = target.filter(|_| open.is_unanswered()).map(|target| {
+            let until = timeout.map_or(open.deadline, |timeout| open.deadline.min(now + timeout));
+            let forwarded = open.forwarded.clone();
+            let order = AttemptOrder { request: request.clone(), attempt, target, until, forwarded };
+            Task::spawn(endpoint::attempt(handle.clone(), order))
+        });
+        let has_started = task.is_some();
+        open.attempts.push(OpenAttempt { sent: now, task });
+        if !has_started {
+            let event = self.attempt_end(&request, attempt, now, Outcome::NotSent, None);
+            self.events.push_back(event);
+        }
+    }
+
+    /// Stops an attempt's task, which closes its connection.
+    pub(super) fn cancel(&mut self, request: &RequestId, attempt: AttemptNumber) {
+        let Some(open) = self.open.get_mut(request) else { return };
+        let Some(cancelled) = open.attempts.get_mut(attempt) else { return };
+        if cancelled.task.take().is_some() {
+            let sent = cancelled.sent;
+            let event = self.attempt_end(request, attempt, sent, Outcome::Cancelled, None);
+            self.events.push_back(event);
+            self.forget_if_over(request);
+        }
+    }
+
+    /// The end of an attempt, counted and as the module is told.
+    pub(super) fn attempt_end(
+        &mut self,
+        request: &RequestId,
+        attempt: AttemptNumber,
+        sent: Timestamp,
+        outcome: Outcome,
+        report: Option<LoadReport>,
+    ) -> Event {
+        self.counters.attempt_ended(outcome);
+        self.counters.reports += u64::from(report.is_some());
+        Event::AttemptEnded(AttemptEnd {
+            request: request.clone(),
+            attempt,
+            outcome,
+            took: self.clock.now().since(sent),
+            request_ended: !self.open.get(request).is_some_and(OpenRequest::is_unanswered),
+            report,
+        })
+    }
+}
--- /dev/null
+++ b/src/sidecar/node/discovery.rs
@@ -0,0 +1,89 @@
+//! The node as the client of discovery sees it.
+
+use super::state::{Node, NodeHandle};
+use crate::discovery::{self, EndpointList, ListConsumer, OlderList, Source};
+use crate::policy::{DiscoveryMode, Event, ListKind};
+use crate::sidecar::task::Task;
+use std::fmt;
+use std::sync::Arc;
+
+impl NodeHandle {
+    /// Takes over a list's endpoints.
+    pub(super) fn take_list(&self, list: &EndpointList, kind: ListKind) {
+        let mut node = self.borrow();
+        let mut update = node.membership.update(list, kind);
+        node.membership.remove_replaced(&mut update);
+        update.outdated.iter().for_each(|endpoint| node.pool.close_idle(endpoint));
+        drop(node);
+        self.handle(Event::EndpointList { version: list.index, kind, entries: update.entries.into() });
+    }
+}
+
+impl Node {
+    /// Begins to follow discovery.
+    pub(super) fn begin_watch(&mut self, handle: &NodeHandle) {
+        let (consumer, source) = (handle.clone(), self.discovery);
+        self.watch = Some(match self.settings.current().discovery {
+            DiscoveryMode::Pushed => Task::spawn(discovery::follow_agent(consumer, source)),
+            DiscoveryMode::OnRequest => {
+                Task::spawn(discovery::watch(consumer, source, self.membership.version()))
+            }
+        });
+    }
+}
+
+impl ListConsumer for NodeHandle {
+    fn held_version(&self, source: Source) -> Option<u64> {
+        let node = self.borrow();
+        node.membership.version().filter(|_| source == node.discovery)
+    }
+
+    fn list_received(&self, source: Source, mut list: EndpointList) -> Result<(), OlderList> {
+        let mut node = self.borrow();
+        if source == node.discovery {
+            node.membership.accept(&mut list)?;
+            node.first_list_due = None;
+            node.watch_before = None;
+        } else if node.membership.version().is_some() {
+            return Ok(()); // the present one has spoken
+        }
+        drop(node);
+        let kind = if list.snapshot { ListKind::Snapshot } else { ListKind::Changes };
+        self.take_list(&list, kind);
+        Ok(())
+    }
+
+    /// That is no less than word that nothing has changed, which may not come before the first change.
+    fn watch_opened(&self, source: Source) {
+        let version = self.held_version(source);
+        if let Some(version) = version {
+            let entries = Arc::from([]);
+            self.handle(Event::EndpointList { version, kind: ListKind::Changes, entries });
+        }
+    }
+
+    /// That of a discovery that is no longer asked was to be.
+    fn discovery_failed(&self, source: Source) {
+        let mut node = self.borrow();
+        if source == node.discovery {
+            node.watch = None;
+            drop(node);
+            self.handle(Event::DiscoveryFailed);
+        }
+    }
+
+    /// An agent says nothing while discovery is down.
+    fn call_is_late(&self, _source: Source) {
+        if self.borrow().settings.current().discovery == DiscoveryMode::OnRequest {
+            log!("discovery is late with an answer and is called again");
+        }
+    }
+
+    fn jitter_seed(&self) -> u64 {
+        self.borrow().seed
+    }
+
+    fn log(&self, line: fmt::Arguments<'_>) {
+        log!("{line}");
+    }
+}
--- /dev/null
+++ b/src/sidecar/node/endpoint_host.rs
@@ -0,0 +1,111 @@
+//! The node as attempts and probes see it.
+
+use super::open_request::FinalAnswer;
+use super::state::NodeHandle;
+use crate::policy::{EndpointId, Event, Outcome};
+use crate::sidecar::clock::Clock;
+use crate::sidecar::descriptors::Side;
+use crate::sidecar::endpoint::{
+    AttemptOrder, AttemptResult, DialPermit, EndpointConnection, EndpointHost, SweepSchedule, Target,
+};
+use crate::sidecar::memory::MemoryBudget;
+use std::time::Duration;
+use tokio::task::spawn_local;
+use tokio::time::sleep_until;
+
+impl EndpointHost for NodeHandle {
+    fn clock(&self) -> Clock {
+        self.borrow().clock
+    }
+
+    fn connect_timeout(&self) -> Duration {
+        self.borrow().settings.current().limits.connect_timeout
+    }
+
+    fn answer_memory(&self) -> MemoryBudget {
+        self.borrow().answer_memory.clone()
+    }
+
+    fn descriptors_are_spent(&self) -> bool {
+        self.borrow().descriptors.are_spent()
+    }
+
+    fn dial_permit(&self) -> Option<DialPermit> {
+        let mut node = self.borrow();
+        if node.descriptors.are_spent() && !node.pool.close_oldest() && !node.callers.make_room() {
+            return None;
+        }
+        node.counters.connects += 1;
+        let descriptor = node.descriptors.permit(Side::Endpoints);
+        Some(DialPermit { descriptor, attempts: node.figures.attempts.clone() })
+    }
+
+    fn take_connection(&self, endpoint: &EndpointId) -> Option<EndpointConnection> {
+        self.borrow().pool.take(endpoint)
+    }
+
+    fn return_connection(&self, connection: EndpointConnection, target: &Target) {
+        let mut node = self.borrow();
+        if !node.takes_work(target) {
+            return;
+        }
+        if node.pool.put_back(&target.endpoint, connection) == SweepSchedule::Needed {
+            spawn_local(sweep_pool(self.clone()));
+        }
+    }
+
+    fn may_write(&self, order: &AttemptOrder) -> bool {
+        let node = self.borrow();
+        let Some(open) = node.open.get(&order.request) else { return false };
+        let is_in_flight = open.attempts.get(order.attempt).is_some_and(|attempt| attempt.task.is_some());
+        let is_in_time = node.clock.now() < order.until;
+        open.is_unanswered() && is_in_flight && node.takes_work(&order.target) && is_in_time
+    }
+
+    /// The first attempt served is the request's answer.
+    fn attempt_ended(&self, order: &AttemptOrder, result: AttemptResult) {
+        let mut guard = self.borrow();
+        let node = &mut *guard;
+        let Some(open) = node.open.get_mut(&order.request) else { return };
+        let Some(attempt) = open.attempts.get_mut(order.attempt) else { return };
+        if attempt.task.take().is_none() {
+            return; // cancelled, and the module knows
+        }
+        // It ran from when the endpoint had all of it.
+        let whole_at = order.forwarded.upload.as_ref().and_then(|upload| upload.whole_at());
+        let whole_at = whole_at.map(|instant| node.clock.timestamp(instant));
+        let sent = whole_at.map_or(attempt.sent, |at| at.max(attempt.sent));
+        open.has_timed_out = result.outcome == Outcome::TimedOut;
+        if let Some(answer) = result.answer {
+            node.answer(&order.request, FinalAnswer::Served(answer));
+        }
+        let event = node.attempt_end(&order.request, order.attempt, sent, result.outcome, result.report);
+        drop(guard);
+        if order.forwarded.is_consumed() {
+            self.handle(Event::BodyConsumed { request: order.request.clone() });
+        }
+        self.handle(event);
+        self.borrow().forget_if_over(&order.request);
+    }
+
+    fn probe_ended(&self, target: &Target, took: Duration, result: AttemptResult) {
+        let AttemptResult { outcome, report, .. } = result;
+        let mut node = self.borrow();
+        node.counters.probes += 1;
+        node.counters.reports += u64::from(report.is_some());
+        if node.membership.get(&target.endpoint).is_none_or(|m| m.started_at != target.started_at) {
+            return; // it speaks of a process that is no more
+        }
+        drop(node);
+        self.handle(Event::ProbeEnded { endpoint: target.endpoint.clone(), outcome, took, report });
+    }
+}
+
+/// Sweeps the pool for as long as it holds connections.
+async fn sweep_pool(node: NodeHandle) {
+    loop {
+        let next = node.borrow().pool.sweep();
+        let Some(next) = next else { return };
+        sleep_until(next).await;
+    }
+}
--- /dev/null
+++ b/src/sidecar/node/reload.rs
@@ -0,0 +1,86 @@
+//! Configurations that are read again while the node runs.
+
+use super::settings_in_force::SettingsInForce;
+use super::state::NodeHandle;
+use crate::discovery::Source;
+use crate::policy::{Event, SettingsError};
+use crate::sidecar::config::Config;
+
+/// Why a configuration is not taken over.
+#[derive(Debug, thiserror::Error)]
+pub enum ReloadError {
+    /// A key has gone, which a broken file looks like.
+    #[error("{0} is missing, which was there before")]
+    MissingKey(String),
+    /// The settings make no sense.
+    #[error("settings: {0}")]
+    Settings(#[from] SettingsError),
+}
+
+impl NodeHandle {
+    /// Takes over what the configuration now says, as far as a running process can. A discovery that has moved is asked at
+    /// once; until it has spoken the one before is listened to. `known` is not taken over: what has been told since the
+    /// start is fresher.
+    ///
+    /// # Errors
+    /// What is wrong with it; then nothing of it is taken over.
+    pub fn reload(&self, config: Config) -> Result<(), ReloadError> {
+        let changed = self.change_settings(&config)?;
+        self.borrow().figures.reloads += 1;
+        let has_moved = self.move_discovery(&config);
+        let fixed = self.borrow().fixed.differences(&config.fixed).join(", ");
+        let discovery = if has_moved { format!("moves to {}", config.discovery) } else { "stays".into() };
+        let restart =
+            if fixed.is_empty() { String::new() } else { format!("; only a restart takes over: {fixed}") };
+        let settings =
+            if changed.is_empty() { "stay".into() } else { format!("change in {}", changed.join(", ")) };
+        log!("configuration read again: discovery {discovery}, settings {settings}{restart}");
+        Ok(())
+    }
+
+    fn move_discovery(&self, config: &Config) -> bool {
+        let mut node = self.borrow();
+        if config.discovery == node.discovery.address {
+            return false;
+        }
+        let generation = node.discovery.generation + 1;
+        node.discovery = Source { address: config.discovery, generation };
+        // One that had not spoken yet gives way; who was listened to before it still is.
+        let has_spoken = node.membership.forget_version();
+        let watch = node.watch.take();
+        if has_spoken {
+            node.watch_before = watch;
+        }
+        node.begin_watch(self);
+        true
+    }
+
+    /// Goes on with the settings of a configuration, and returns the names of those that have changed.
+    fn change_settings(&self, config: &Config) -> Result<Vec<String>, ReloadError> {
+        let mut node = self.borrow();
+        if let Some(key) = config.missing_key(&node.document) {
+            return Err(ReloadError::MissingKey(key));
+        }
+        let changed = config.changed_settings(&node.document);
+        if changed.is_empty() {
+            return Ok(changed);
+        }
+        let (now, mut actions) = (node.clock.now(), Vec::new());
+        let settings = config.settings.clone();
+        let classes = node.balancer.change_settings(now, settings.clone(), &mut actions)?;
+        let follows_anew = node.settings.current().discovery != settings.discovery;
+        node.pool.change_limits(&settings.limits);
+        node.figures.add_classes(settings.classes.iter().map(|class| class.name.as_str()));
+        node.settings.replace(SettingsInForce { settings, classes });
+        node.document = config.document.clone();
+        for action in actions {
+            node.carry_out(self, action);
+        }
+        if follows_anew {
+            node.begin_watch(self);
+        }
+        drop(node);
+        self.handle(Event::Timer { token: 0 }); // what carrying out has brought goes on to the module
+        Ok(changed)
+    }
+}
--- /dev/null
+++ b/src/sidecar/report.rs
@@ -0,0 +1,37 @@
+//! The log's lines of counts.
+
+use super::node::NodeHandle;
+use crate::policy::BalancerStatus;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// The least time between two lines: a busy sidecar writes some ten thousand a day.
+const PERIOD: Duration = Duration::from_secs(5);
+
+/// Writes the counts of each period in which something happened, and how the module stands at its end.
+pub async fn write_each_period(node: NodeHandle) {
+    loop {
+        sleep(PERIOD).await;
+        write(&node);
+    }
+}
+
+/// Writes the counts since it last did, if there are any.
+pub fn write(node: &NodeHandle) {
+    let (line, status, connections) = {
+        let mut guard = node.borrow();
+        let answered = guard.figures.answered();
+        (guard.counters.take(answered), guard.balancer_status(), guard.descriptors.held())
+    };
+    if line.is_empty() {
+        return;
+    }
+    let BalancerStatus { open, held, in_flight, clear, gapping, discarding, informed, avoided } = status;
+    log!(
+        "counts {line}; now open={open} held={held} in_flight={in_flight} callers={callers} \
+         connections={endpoints} clear={clear} gapping={gapping} discarding={discarding} \
+         informed={informed} avoided={avoided}",
+        callers = connections.callers,
+        endpoints = connections.endpoints,
+    );
+}
--- /dev/null
+++ b/src/sidecar/server/caller_connection.rs
@@ -0,0 +1,32 @@
+//! A caller's connection, as those see it who answer its requests.
+
+use super::reply::{Reply, refused};
+use crate::sidecar::caller::Traffic;
+use crate::sidecar::descriptors::DescriptorPermit;
+use crate::sidecar::node::NodeHandle;
+use std::rc::Rc;
+
+/// One caller's connection, in the table for as long as it lives.
+pub struct CallerConnection {
+    pub node: NodeHandle,
+    pub number: u64,
+    pub traffic: Rc<Traffic>,
+    /// There are no descriptors for it: whatever it asks is refused.
+    pub is_turned_away: bool,
+    pub _permit: DescriptorPermit,
+}
+
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        self.node.borrow().callers.remove(self.number);
+    }
+}
+
+impl CallerConnection {
+    /// Refuses a request for want of room.
+    pub fn turn_away(&self) -> Reply {
+        let mut node = self.node.borrow();
+        node.counters.turned_away += 1;
+        refused(node.retry_after())
+    }
+}
--- /dev/null
+++ b/src/sidecar/server/forward.rs
@@ -0,0 +1,199 @@
+//! A request for an endpoint, from its head to its answer.
+
+use super::caller_connection::CallerConnection;
+use super::reply::{Reply, ReplyBody, plain, reply};
+use super::request::parse_request;
+use super::request_error::RequestError;
+use crate::policy::{Idempotency, Request as PolicyRequest, RequestId, Timestamp};
+use crate::sidecar::body::{MAX_KEPT, ReceivedBody, Upload, receive_body};
+use crate::sidecar::endpoint::{ForwardedRequest, end_to_end};
+use crate::sidecar::figures::RequestCount;
+use crate::sidecar::node::{FinalAnswer, NodeHandle, NotTaken, SettingsInForce};
+use hyper::body::{Body, Incoming};
+use hyper::http::request::Parts;
+use hyper::http::uri::PathAndQuery;
+use hyper::{Request, Response, StatusCode};
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::oneshot::{self, error::TryRecvError};
+use tokio::time::{Instant, timeout_at};
+
+/// Forwards a request and answers it, and counts it for its class.
+///
+/// # Errors
+/// Why it is not taken.
+pub async fn answer(
+    caller: &CallerConnection,
+    request: Request<Incoming>,
+    begun: Instant,
+) -> Result<Reply, RequestError> {
+    let mut count = None;
+    let mut answer = forward(caller, request, begun, &mut count).await;
+    let streamed = answer.as_mut().ok().and_then(|reply| match reply.body_mut() {
+        ReplyBody::Streamed(streamed) => Some(streamed),
+        ReplyBody::Whole(_) => None,
+    });
+    match (count, streamed) {
+        (Some(count), Some(streamed)) => streamed.count_for(count, &caller.traffic),
+        (Some(count), None) => {
+            count.end(answer.as_ref().map_or_else(|error| error.status, Response::status));
+        }
+        (None, _) => {}
+    }
+    answer
+}
+
+/// A request whose head has been read, under the settings that it came under.
+struct ParsedRequest {
+    request: PolicyRequest,
+    settings: Rc<SettingsInForce>,
+    /// The position of its class in the settings.
+    class: usize,
+    /// How long its client waits, from its last byte on.
+    time_left: Duration,
+}
+
+async fn forward(
+    caller: &CallerConnection,
+    request: Request<Incoming>,
+    begun: Instant,
+    count: &mut Option<RequestCount>,
+) -> Result<Reply, RequestError> {
+    let node = &caller.node;
+    let (head, body) = request.into_parts();
+    let parsed = parse(node, &head, begun).map_err(|error| error.with_body_unread(!body.is_end_stream()))?;
+    let ParsedRequest { mut request, settings, class, time_left } = parsed;
+    let class = &settings.settings.classes[class];
+    let count = count.insert(node.borrow().figures.begin(&class.name));
+    // As much as it declares, or as much as may be kept.
+    let most = body.size_hint().exact().map_or(MAX_KEPT, |length| length.min(MAX_KEPT as u64) as usize);
+    let Some(memory) = node.borrow().request_memory.reserve(most) else {
+        caller.traffic.is_last_request.set(true);
+        return Ok(caller.turn_away());
+    };
+    let is_chunked = caller.traffic.is_last_request.get();
+    let ReceivedBody { kept, upload } = receive_body(body, begun).await?;
+    if upload.is_none() {
+        count.set_whole();
+    }
+    request.deadline = deadline(node, time_left);
+    let wait = Wait {
+        until: node.borrow().clock.instant(request.deadline) + settings.settings.rules.answer_slack,
+        after_upload: time_left + settings.settings.rules.answer_slack,
+        is_chunked,
+    };
+    let forwarded = ForwardedRequest {
+        method: head.method,
+        path: head.uri.into_parts().path_and_query.unwrap_or(PathAndQuery::from_static("/api")),
+        headers: end_to_end(&head.headers),
+        body: kept,
+        upload: upload.clone(),
+        is_repeatable: class.idempotency != Idempotency::Unsafe,
+        _memory: memory,
+    };
+    let id = request.id.clone();
+    let answer = match node.take(request, forwarded) {
+        Ok(answer) => answer,
+        Err(NotTaken::TooMany) => return Ok(caller.turn_away()),
+        Err(NotTaken::Repeated) => return Err(repeated_id()),
+    };
+    let mut pending = PendingAnswer { node, id, answer };
+    let answer = match upload {
+        None => timeout_at(wait.until, &mut pending.answer).await.ok(),
+        Some(upload) => wait.with_upload(caller, &upload, &mut pending.answer, count).await?,
+    };
+    Ok(match answer {
+        Some(Ok(answer)) => reply(answer),
+        Some(Err(_)) | None => {
+            node.overdue(&pending.id);
+            plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+        }
+    })
+}
+
+/// Reads a head. Sent before a reload, it may be a request of the settings before alone.
+fn parse(node: &NodeHandle, head: &Parts, begun: Instant) -> Result<ParsedRequest, RequestError> {
+    let (now, settings) = {
+        let node = node.borrow();
+        (node.clock.now(), node.settings.for_request(begun))
+    };
+    let under = |settings: Rc<SettingsInForce>| -> Result<ParsedRequest, RequestError> {
+        let mut request = parse_request(&head.method, &head.headers, &settings.settings, now)?;
+        let class = request.class.0;
+        request.class = settings.classes[class];
+        let time_left = request.deadline.since(now);
+        Ok(ParsedRequest { request, settings, class, time_left })
+    };
+    under(settings.current).or_else(|error| settings.before.and_then(|s| under(s).ok()).ok_or(error))
+}
+
+/// The time of a request counts from its last byte, and ends before the sidecar does.
+fn deadline(node: &NodeHandle, time_left: Duration) -> Timestamp {
+    let node = node.borrow();
+    let deadline = node.clock.now() + time_left;
+    node.last_answer.map_or(deadline, |last| deadline.min(last))
+}
+
+fn repeated_id() -> RequestError {
+    RequestError::new(StatusCode::CONFLICT, "a request with this id is open").with_body_unread(false)
+}
+
+/// How long an answer is waited for.
+struct Wait {
+    until: Instant,
+    /// From an upload's last byte on.
+    after_upload: Duration,
+    /// The connection ends with the request anyway.
+    is_chunked: bool,
+}
+
+impl Wait {
+    /// Waits for an answer while the body comes.
+    async fn with_upload(
+        &self,
+        caller: &CallerConnection,
+        upload: &Upload,
+        answer: &mut oneshot::Receiver<FinalAnswer>,
+        count: &mut RequestCount,
+    ) -> Result<Option<Result<FinalAnswer, oneshot::error::RecvError>>, RequestError> {
+        // Answered before it has come whole, the connection ends with the answer.
+        caller.traffic.is_last_request.set(true);
+        let answer = pin!(upload.within(self.after_upload, answer));
+        let failed = async {
+            if let Err(error) = upload.end().await {
+                return error;
+            }
+            caller.traffic.is_last_request.set(self.is_chunked);
+            count.set_whole();
+            std::future::pending().await
+        };
+        let answer = tokio::select! {
+            biased;
+            error = failed => return Err(error.into()),
+            answer = answer => answer,
+        };
+        count.set_whole();
+        Ok(answer)
+    }
+}
+
+/// A request that waits for its answer. Its connection's end drops it, which is how a client goes. Once it has its answer
+/// it is over, and its id may be another request's.
+struct PendingAnswer<'a> {
+    node: &'a NodeHandle,
+    id: RequestId,
+    answer: oneshot::Receiver<FinalAnswer>,
+}
+
+impl Drop for PendingAnswer<'_> {
+    fn drop(&mut self) {
+        if self.answer.try_recv().is_err_and(|error| error == TryRecvError::Empty) {
+            self.node.client_disconnected(&self.id);
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "forward_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/sidecar/server/request.rs
@@ -0,0 +1,97 @@
+//! Callers' requests in the decision module's form.
+
+use super::request_error::RequestError;
+use crate::policy::{ClassId, Idempotency, Key, Request, RequestId, Settings, TenantId, Timestamp};
+use crate::sidecar::clock::FARTHEST;
+use crate::sidecar::endpoint::DEADLINE_HEADER;
+use hyper::header::{self, HeaderMap, HeaderValue};
+use hyper::{Method, StatusCode};
+use std::time::Duration;
+
+/// The longest id or key, in bytes.
+const LONGEST_ID: usize = 256;
+const REQUEST_ID: &str = "x-request-id";
+const IDEMPOTENCY_KEY: &str = "idempotency-key";
+/// The cookie that holds what a request is about.
+const SUBJECT_COOKIE: &str = "sid=";
+
+/// The request in the decision module's form. Its class is the position in the settings.
+///
+/// # Errors
+/// What is wrong with it.
+pub fn parse_request(
+    method: &Method,
+    headers: &HeaderMap,
+    settings: &Settings,
+    now: Timestamp,
+) -> Result<Request, RequestError> {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let id = parse_id(headers)?;
+    let name = text("x-class").ok_or(bad_request("X-Class is missing"))?;
+    let class = settings.classes.iter().position(|class| class.name == name);
+    let class = class.ok_or(bad_request("X-Class is not known"))?;
+    let idempotency = settings.classes[class].idempotency;
+    check_method(method, idempotency)?;
+    if matches!(idempotency, Idempotency::Keyed { .. }) && !headers.contains_key(IDEMPOTENCY_KEY) {
+        return Err(bad_request("Idempotency-Key is missing"));
+    }
+    let tenant = parse_tenant(text("x-tenant"), settings)?;
+    // No client waits longer than its class allows over all its tries.
+    let time_left = parse_time_left(text(DEADLINE_HEADER.as_str()))?.min(settings.classes[class].deadline);
+    let hint = text("x-cost-hint").and_then(|value| value.trim().parse().ok());
+    Ok(Request {
+        id,
+        class: ClassId(class),
+        tenant,
+        key: headers.get_all(header::COOKIE).iter().find_map(subject),
+        deadline: now + time_left,
+        cost_hint: hint.filter(|micros| *micros > 0).map(Duration::from_micros),
+        client_retry: text("x-retry") == Some("1"),
+        write: idempotency != Idempotency::Idempotent,
+    })
+}
+
+fn bad_request(text: &'static str) -> RequestError {
+    RequestError::new(StatusCode::BAD_REQUEST, text)
+}
+
+/// Ids and keys are kept, and go on: no longer than any honest one.
+fn parse_id(headers: &HeaderMap) -> Result<RequestId, RequestError> {
+    let id = headers.get(REQUEST_ID).and_then(|value| value.to_str().ok()).filter(|id| !id.is_empty());
+    let id = id.ok_or(bad_request("X-Request-Id is missing"))?;
+    let kept = [REQUEST_ID, IDEMPOTENCY_KEY].map(|name| headers.get_all(name).iter());
+    if kept.into_iter().flatten().any(|value| value.len() > LONGEST_ID) {
+        return Err(bad_request("X-Request-Id or Idempotency-Key is over 256 bytes"));
+    }
+    if headers.get_all(REQUEST_ID).iter().count() > 1 {
+        return Err(bad_request("X-Request-Id is there twice"));
+    }
+    Ok(RequestId::from(id))
+}
+
+fn check_method(method: &Method, idempotency: Idempotency) -> Result<(), RequestError> {
+    let needed = if idempotency == Idempotency::Idempotent { "GET" } else { "POST" };
+    if method.as_str() == needed { Ok(()) } else { Err(RequestError::method(needed)) }
+}
+
+fn parse_tenant(name: Option<&str>, settings: &Settings) -> Result<Option<TenantId>, RequestError> {
+    if settings.tenants.is_empty() {
+        return Ok(None);
+    }
+    let position = name.and_then(|name| settings.tenants.iter().position(|tenant| tenant.name == name));
+    let position = position.ok_or(bad_request("X-Tenant is not known"))?;
+    Ok(Some(TenantId(position)))
+}
+
+fn parse_time_left(text: Option<&str>) -> Result<Duration, RequestError> {
+    let seconds = text.and_then(|text| text.trim().parse().ok()).filter(|seconds: &f64| seconds.is_finite());
+    let time = seconds.and_then(|s| Duration::try_from_secs_f64(s.min(FARTHEST.as_secs_f64())).ok());
+    time.ok_or(bad_request("X-Deadline is not a number of seconds"))
+}
+
+/// What the request is about, by a cookie.
+fn subject(cookies: &HeaderValue) -> Option<Key> {
+    let mut cookies = cookies.to_str().ok()?.split(';');
+    let subject = cookies.find_map(|cookie| cookie.trim().strip_prefix(SUBJECT_COOKIE));
+    subject.filter(|subject| !subject.is_empty() && subject.len() <= LONGEST_ID).map(Key::from)
+}
--- /dev/null
+++ b/src/simulator/event.rs
@@ -0,0 +1,91 @@
+//! Events of an instance whose settings are known.
+
+use super::error::WireError;
+use super::fields::Fields;
+use crate::policy::{
+    AttemptEnd, AttemptNumber, ClassId, Event, Key, PeerId, Request, RequestId, Settings, TenantId,
+};
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Bits of a request's attributes.
+const HAS_COST_HINT: u64 = 1;
+const IS_CLIENT_RETRY: u64 = 2;
+const IS_WRITE: u64 = 4;
+/// Stands for a request without a tenant.
+const NO_TENANT: &str = "0";
+
+/// The class and tenant names of an instance.
+#[derive(Debug)]
+pub(super) struct Names {
+    classes: HashMap<String, ClassId>,
+    tenants: HashMap<String, TenantId>,
+}
+
+impl Names {
+    /// The names in these settings.
+    pub(super) fn of(settings: &Settings) -> Self {
+        let classes = settings.classes.iter().enumerate().map(|(i, c)| (c.name.clone(), ClassId(i)));
+        let tenants = settings.tenants.iter().enumerate().map(|(i, t)| (t.name.clone(), TenantId(i)));
+        Names { classes: classes.collect(), tenants: tenants.collect() }
+    }
+}
+
+/// Reads an event.
+pub(super) fn parse_event(fields: &Fields, names: &Names) -> Result<Event, WireError> {
+    Ok(match fields.message() {
+        "call" => Event::Request(parse_request(fields, names)?),
+        "started" => Event::StreamStarted { request: request_id(fields)?, attempt: attempt(fields)? },
+        "report_back" => Event::AttemptEnded(AttemptEnd {
+            request: request_id(fields)?,
+            attempt: attempt(fields)?,
+            outcome: fields.outcome()?,
+            took: took(fields)?,
+            request_ended: fields.flag("terminal")?,
+            report: fields.load_report()?,
+        }),
+        "client_gone" => Event::ClientDisconnected { request: request_id(fields)? },
+        "due" => Event::Timer { token: fields.number("name")? },
+        "probe_result" => Event::ProbeEnded {
+            endpoint: fields.text("endpoint")?.into(),
+            outcome: fields.outcome()?,
+            took: took(fields)?,
+            report: fields.load_report()?,
+        },
+        "peer" => Event::PeerMessage { from: PeerId(fields.number("who")?), data: fields.data()? },
+        other => return Err(WireError::UnknownMessage(other.into())),
+    })
+}
+
+fn request_id(fields: &Fields) -> Result<RequestId, WireError> {
+    Ok(fields.text("xid")?.into())
+}
+
+fn attempt(fields: &Fields) -> Result<AttemptNumber, WireError> {
+    fields.number("attempt")
+}
+
+fn took(fields: &Fields) -> Result<Duration, WireError> {
+    Ok(Duration::from_nanos(fields.number("timeTakenNs")?))
+}
+
+fn parse_request(fields: &Fields, names: &Names) -> Result<Request, WireError> {
+    let class = fields.text("priority")?;
+    let attributes = fields.number_or_zero("attrs")?;
+    let hint = fields.number_or_zero("expectedNs")?;
+    let has_hint = attributes & HAS_COST_HINT != 0 && hint > 0;
+    let tenant = fields.find("org").filter(|tenant| *tenant != NO_TENANT);
+    Ok(Request {
+        id: request_id(fields)?,
+        class: fields.parsed("priority", class, names.classes.get(class).copied())?,
+        tenant: match tenant {
+            Some(name) => Some(fields.parsed("org", name, names.tenants.get(name).copied())?),
+            None => None,
+        },
+        key: fields.find("key").map(Key::from),
+        deadline: fields.timestamp("validUntilNs")?,
+        cost_hint: has_hint.then(|| Duration::from_nanos(hint)),
+        client_retry: attributes & IS_CLIENT_RETRY != 0,
+        write: attributes & IS_WRITE != 0,
+    })
+}
--- a/tests/cold_tier.rs
+++ b/tests/policy/cold_tier.rs
@@ -1,15 +1,14 @@
 //! Cold endpoints in a tier whose warm ones are gone or fail: they get their share of the requests all the same.
 
-mod common;
-use common::*;
-use passproxy::api::*;
+use crate::host::*;
+use pipittray::policy::*;
 
 /// Requests come this far apart.
 const APART_MS: u64 = 20;
 
 /// An endpoint that has just started.
-fn started(host: &Host, name: &str) -> Listing {
-    Listing { up_since: Some(host.now), ..listing(name, "a", 0) }
+fn started(host: &Host, name: &str) -> EndpointEntry {
+    EndpointEntry { started_at: Some(host.now), ..listing(name, "a", 0) }
 }
 
 /// Has `requests` come one after another. Endpoints named in `silent` let each attempt time out, the others serve it.
@@ -29,7 +28,7 @@
             sent.push(endpoint);
         }
         // Held ones leave, which keeps the queue out of this.
-        host.tell(Event::ClientGone { request: id });
+        host.tell(Event::ClientDisconnected { request: id });
     }
     sent
 }
@@ -43,8 +42,8 @@
 fn a_tier_that_is_cold_throughout_is_used() {
     let mut host = Host::new(settings(), listings(4));
     attempts(&mut host, 100, &[]);
-    let all: Vec<Listing> = (0..4).map(|n| started(&host, &format!("e{n}"))).collect();
-    host.members(News::Full, all);
+    let all: Vec<EndpointEntry> = (0..4).map(|n| started(&host, &format!("e{n}"))).collect();
+    host.members(ListKind::Snapshot, all);
     let sent = attempts(&mut host, 200, &[]);
     assert!(sent.len() > 100, "{} of 200 requests were sent", sent.len());
     for name in ["e0", "e1", "e2", "e3"] {
@@ -59,8 +58,8 @@
 fn cold_endpoints_beside_a_silent_one_are_used() {
     let mut host = Host::new(settings(), listings(4));
     attempts(&mut host, 100, &[]);
-    let cold: Vec<Listing> = (1..4).map(|n| started(&host, &format!("e{n}"))).collect();
-    host.members(News::Delta, cold);
+    let cold: Vec<EndpointEntry> = (1..4).map(|n| started(&host, &format!("e{n}"))).collect();
+    host.members(ListKind::Changes, cold);
     let sent = attempts(&mut host, 200, &["e0"]);
     let served = sent.len() - of(&sent, "e0");
     assert!(served > 80, "{served} of 200 requests were served");
@@ -74,7 +73,7 @@
     let mut host = Host::new(set, listings(2));
     attempts(&mut host, 100, &[]);
     let cold = started(&host, "e1");
-    host.members(News::Delta, vec![cold]);
+    host.members(ListKind::Changes, vec![cold]);
     let (mut sent, mut refused) = (Vec::new(), 0);
     for _ in 0..400 {
         host.now = host.now + ms(1);
--- a/tests/common/mod.rs
+++ b/tests/policy/host.rs
@@ -1,8 +1,6 @@
 //! Settings and a small host for tests of the decision module.
-#![allow(dead_code)]
 
-use passproxy::api::*;
-use passproxy::choice::Balancer;
+use pipittray::policy::*;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,29 +8,29 @@
     Duration::from_millis(n)
 }
 
-pub fn at(n: u64) -> Moment {
-    Moment::from_nanos(1_000_000_000_000 + n * 1_000_000)
+pub fn at(n: u64) -> Timestamp {
+    Timestamp::from_nanos(1_000_000_000_000 + n * 1_000_000)
 }
 
-pub fn class(name: &str, worth: f64, effect: Effect) -> Class {
+pub fn class(name: &str, worth: f64, idempotency: Idempotency) -> Class {
     Class {
         name: name.into(),
-        aim: ms(1000),
-        aim_stretch: 0.0,
+        objective: ms(1000),
+        objective_stretch: 0.0,
         deadline: ms(3000),
         worth,
         late_share: 0.0,
-        effect,
+        idempotency,
         stream: false,
         by_arrival: false,
     }
 }
 
 pub fn settings() -> Settings {
-    let keyed = |scope| Effect::Keyed { scope, memory: ms(300) };
+    let keyed = |scope| Idempotency::Keyed { scope, window: ms(300) };
     Settings {
         balancers: 4,
-        me: PeerId(0),
+        instance: PeerId(0),
         zone: "a".into(),
         zones: 1,
         tier: 0,
@@ -40,11 +38,11 @@
         passes_deadline: true,
         warm_keys: false,
         classes: vec![
-            class("safe", 1.0, Effect::Safe),
-            class("unsafe", 3.0, Effect::Unsafe),
+            class("safe", 1.0, Idempotency::Idempotent),
+            class("unsafe", 3.0, Idempotency::Unsafe),
             class("keyed-all", 2.0, keyed(KeyScope::All)),
             class("keyed-zone", 2.0, keyed(KeyScope::Zone)),
-            class("keyed-cell", 2.0, keyed(KeyScope::Cell)),
+            class("keyed-cell", 2.0, keyed(KeyScope::Group)),
         ],
         tenants: Vec::new(),
         over_share_worth: 0.0,
@@ -52,13 +50,13 @@
             cancel: true,
             probes: false,
             peers: false,
-            parallel_tries: false,
+            parallel_attempts: false,
             retry_after: true,
             max_retry_after: ms(2000),
             max_attempts: 3,
             max_open: 10_000,
             streams_per_connection: 1,
-            idle_close: ms(5000),
+            idle_timeout: ms(5000),
             connect_timeout: ms(250),
         },
         rules: Rules {
@@ -73,7 +71,7 @@
             order_pause: None,
         },
         prices: Prices::default(),
-        discovery: Discovery::Pushed,
+        discovery: DiscoveryMode::Pushed,
         sizes: SizeMeaning::None,
         reporting: Reporting::WithAnswers,
         worth_by: WorthBy::Request,
@@ -82,37 +80,37 @@
     }
 }
 
-pub fn listing(name: &str, zone: &str, cell: u64) -> Listing {
-    Listing {
+pub fn listing(name: &str, zone: &str, group: u64) -> EndpointEntry {
+    EndpointEntry {
         endpoint: name.into(),
         zone: zone.into(),
         kind: "box".into(),
-        cell: CellId(cell),
+        group: GroupId(group),
         readiness: Readiness::Up,
         size: 1.0,
-        up_since: None,
+        started_at: None,
     }
 }
 
-pub fn listings(n: usize) -> Vec<Listing> {
+pub fn listings(n: usize) -> Vec<EndpointEntry> {
     (0..n).map(|i| listing(&format!("e{i}"), "a", 0)).collect()
 }
 
 /// One instance with its clock.
 pub struct Host {
     pub balancer: Balancer,
-    pub now: Moment,
+    pub now: Timestamp,
     next: u64,
 }
 
 impl Host {
-    pub fn new(settings: Settings, entries: Vec<Listing>) -> Self {
+    pub fn new(settings: Settings, entries: Vec<EndpointEntry>) -> Self {
         let mut host = Host {
             balancer: Balancer::new(settings, 7).expect("settings that make sense"),
             now: at(0),
             next: 0,
         };
-        host.members(News::Stale, entries);
+        host.members(ListKind::Cached, entries);
         host
     }
 
@@ -122,8 +120,12 @@
         out
     }
 
-    pub fn members(&mut self, news: News, entries: Vec<Listing>) -> Vec<Action> {
-        self.tell(Event::Members { version: 1, news, entries: Arc::from(entries) })
+    pub fn members(&mut self, kind: ListKind, entries: Vec<EndpointEntry>) -> Vec<Action> {
+        self.tell(Event::EndpointList { version: 1, kind, entries: Arc::from(entries) })
+    }
+
+    pub fn discovery_failed(&mut self) -> Vec<Action> {
+        self.tell(Event::DiscoveryFailed)
     }
 
     pub fn request(&mut self, class: usize) -> (RequestId, Vec<Action>) {
@@ -167,13 +169,13 @@
         took: u64,
         depth: f64,
     ) -> Vec<Action> {
-        let report = Some(Report { depth: Some(depth), ..Report::default() });
-        self.tell(Event::Outcome(Ended {
+        let report = Some(LoadReport { depth: Some(depth), ..LoadReport::default() });
+        self.tell(Event::AttemptEnded(AttemptEnd {
             request: id.clone(),
             attempt,
             outcome,
             took: ms(took),
-            terminal: outcome == Outcome::Served,
+            request_ended: outcome == Outcome::Served,
             report,
         }))
     }
@@ -210,13 +212,13 @@
 
 pub fn closes(actions: &[Action]) -> Vec<EndpointId> {
     let to = |a: &Action| match a {
-        Action::CloseIdle { endpoint } => Some(endpoint.clone()),
+        Action::CloseIdleConnections { endpoint } => Some(endpoint.clone()),
         _ => None,
     };
     actions.iter().filter_map(to).collect()
 }
 
-pub fn timers(actions: &[Action]) -> Vec<(Moment, u64)> {
+pub fn timers(actions: &[Action]) -> Vec<(Timestamp, u64)> {
     let timer = |a: &Action| match a {
         Action::SetTimer { at, token } => Some((*at, *token)),
         _ => None,
@@ -229,3 +231,53 @@
         |a: &&Action| matches!(a, Action::Refuse { request, .. } | Action::Fail { request } if request == id);
     actions.iter().filter(ours).count()
 }
+
+/// Settings in which every endpoint is in the subset and told states last long.
+pub fn two_levels() -> Settings {
+    let mut set = settings();
+    set.classes.truncate(2); // worths 1 and 3: two levels, thresholds evenly from 0.3 to 2.0
+    set
+}
+
+pub fn is_sent(host: &mut Host, class: usize) -> bool {
+    let (id, actions) = host.request(class);
+    let sent = sends(&actions).len() == 1;
+    if sent {
+        // AttemptEnd as moot: it says nothing of the endpoint.
+        host.end(&id, 0, Outcome::NotSent, 0, 0.0);
+    }
+    host.tell(Event::ClientDisconnected { request: id });
+    sent
+}
+
+/// A copy whose endpoints report their load in answers to probes alone, each of which has this price.
+pub fn probing(price: f64) -> Host {
+    let mut set = two_levels();
+    set.limits.probes = true;
+    set.reporting = Reporting::WithProbes;
+    set.prices.probe = price;
+    Host::new(set, listings(4))
+}
+
+pub fn probed(actions: &[Action]) -> Vec<EndpointId> {
+    let of = |a: &Action| match a {
+        Action::Probe { endpoint } => Some(endpoint.clone()),
+        _ => None,
+    };
+    actions.iter().filter_map(of).collect()
+}
+
+/// Serves so many requests, some time apart, and counts those that an endpoint got.
+pub fn got(host: &mut Host, endpoint: &str, requests: usize) -> usize {
+    let mut count = 0;
+    for _ in 0..requests {
+        host.now = host.now + ms(20);
+        let (id, actions) = host.request(0);
+        let to = sends(&actions);
+        count += to.iter().filter(|e| **e == endpoint.into()).count();
+        if !to.is_empty() {
+            host.end(&id, 0, Outcome::Served, 10, 0.0);
+        }
+    }
+    count
+}
--- a/tests/legal.rs
+++ b/tests/policy/legal.rs
@@ -1,10 +1,8 @@
 //! Random legal sequences of events against the module: rules 1 to 3, 5 and 6, and the legality of every action.
-//! Rule 4 needs all instances together; `tests/choice.rs` has it.
+//! Rule 4 needs all instances together; `cold_ramp.rs` has it.
 
-mod common;
-use common::*;
-use passproxy::api::*;
-use passproxy::choice::{Balancer, Census};
+use crate::host::*;
+use pipittray::policy::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
 use std::collections::{BTreeMap, BTreeSet};
@@ -42,24 +40,24 @@
 const OUTCOMES: [Outcome; 8] = [
     Outcome::Served,
     Outcome::Error,
-    Outcome::Full,
+    Outcome::Rejected,
     Outcome::TimedOut,
     Outcome::ConnectFailed,
     Outcome::Reset,
     Outcome::Cancelled,
-    Outcome::Moot,
+    Outcome::NotSent,
 ];
 
 struct Try {
     endpoint: usize,
-    sent: Moment,
-    until: Moment,
-    ended: Option<(Outcome, Moment)>,
+    sent: Timestamp,
+    until: Timestamp,
+    ended: Option<(Outcome, Timestamp)>,
 }
 
 impl Try {
     fn suspect(&self) -> bool {
-        self.ended.is_none_or(|(o, _)| !o.proves_unrun())
+        self.ended.is_none_or(|(o, _)| !o.proves_not_run())
     }
 }
 
@@ -68,14 +66,14 @@
 struct Links {
     idle: bool,
     told: bool,
-    since: Moment,
+    since: Timestamp,
 }
 
 struct Known {
     class: usize,
     key: Option<u8>,
     taken: usize,
-    deadline: Moment,
+    deadline: Timestamp,
     tries: Vec<Try>,
     over: bool,
 }
@@ -83,18 +81,18 @@
 struct World {
     set: Settings,
     balancer: Balancer,
-    now: Moment,
+    now: Timestamp,
     up: Vec<bool>,
-    since: Vec<Option<Moment>>,
+    since: Vec<Option<Timestamp>>,
     requests: BTreeMap<RequestId, Known>,
-    timers: BTreeSet<(Moment, u64)>,
+    timers: BTreeSet<(Timestamp, u64)>,
     links: Vec<Links>,
     parallel: bool,
     seed: u64,
 }
 
 /// Rule 5: nothing for a request while an earlier one of its key is unfinished, out or just given up.
-fn check_order(set: &Settings, requests: &BTreeMap<RequestId, Known>, ours: &Known, now: Moment) {
+fn check_order(set: &Settings, requests: &BTreeMap<RequestId, Known>, ours: &Known, now: Timestamp) {
     let takes_turns = |k: &Known| set.classes[k.class].by_arrival && k.key.is_some();
     if !takes_turns(ours) {
         return;
@@ -112,10 +110,10 @@
 }
 
 impl World {
-    fn entry(&self, i: usize, readiness: Readiness) -> Listing {
+    fn entry(&self, i: usize, readiness: Readiness) -> EndpointEntry {
         let zone = if i < 4 { "a" } else { "b" };
         let entry = listing(&format!("e{i}"), zone, (i / 2) as u64);
-        Listing { readiness, up_since: self.since[i], ..entry }
+        EndpointEntry { readiness, started_at: self.since[i], ..entry }
     }
 
     fn tell(&mut self, event: Event) {
@@ -127,8 +125,8 @@
         // The book of what is out: attempts that have not ended, and those timed out, which run on until their deadline.
         // What reaches that at this very event may go with the next one.
         let now = self.now;
-        let count = |also: fn(Moment, Moment, Moment) -> bool| {
-            let is_out = |t: &&Try, deadline: Moment| {
+        let count = |also: fn(Timestamp, Timestamp, Timestamp) -> bool| {
+            let is_out = |t: &&Try, deadline: Timestamp| {
                 t.ended.is_none_or(|(o, at)| o == Outcome::TimedOut && also(deadline, at, now))
             };
             let tries = |k: &Known| k.tries.iter().filter(|t| is_out(t, k.deadline)).count();
@@ -136,8 +134,8 @@
         };
         let due = count(|deadline, _, now| deadline > now);
         let most = count(|deadline, ended, now| deadline > now || ended == now);
-        let out = self.balancer.census(now).out;
-        assert!(due <= out && out <= most, "{out} are out, for {due} to {most}");
+        let in_flight = self.balancer.status(now).in_flight;
+        assert!(due <= in_flight && in_flight <= most, "{in_flight} are in flight, for {due} to {most}");
     }
 
     fn check(&mut self, action: Action) {
@@ -156,16 +154,16 @@
                 if !self.parallel {
                     assert!(known.tries.iter().all(|t| t.ended.is_some()), "two attempts out together");
                 }
-                match self.set.classes[known.class].effect {
-                    Effect::Safe => {}
-                    Effect::Unsafe => assert!(suspects.next().is_none(), "rule 2: unsafe sent again"),
-                    Effect::Keyed { scope, memory } => {
+                match self.set.classes[known.class].idempotency {
+                    Idempotency::Idempotent => {}
+                    Idempotency::Unsafe => assert!(suspects.next().is_none(), "rule 2: unsafe sent again"),
+                    Idempotency::Keyed { scope, window } => {
                         for s in suspects {
-                            assert!(now.since(s.sent) < memory, "rule 2: past the window");
+                            assert!(now.since(s.sent) < window, "rule 2: past the window");
                             let same = match scope {
                                 KeyScope::All => true,
                                 KeyScope::Zone => zone(s.endpoint) == zone(e),
-                                KeyScope::Cell => cell(s.endpoint) == cell(e),
+                                KeyScope::Group => cell(s.endpoint) == cell(e),
                             };
                             assert!(same, "rule 2: outside the group");
                         }
@@ -174,7 +172,7 @@
                 let until = timeout.map_or(known.deadline, |t| (now + t).min(known.deadline));
                 known.tries.push(Try { endpoint: e, sent: now, until, ended: None });
             }
-            Action::Abandon { request, attempt } => {
+            Action::Cancel { request, attempt } => {
                 assert!(self.set.limits.cancel);
                 assert!(attempt < self.requests[&request].tries.len(), "an attempt that was made");
             }
@@ -182,11 +180,11 @@
                 let now = self.now;
                 let known = self.requests.get_mut(&request).expect("a request that came");
                 let mut suspects = known.tries.iter().filter(|t| t.suspect());
-                match self.set.classes[known.class].effect {
-                    Effect::Safe => {}
-                    Effect::Keyed { scope: KeyScope::All, memory } => {
+                match self.set.classes[known.class].idempotency {
+                    Idempotency::Idempotent => {}
+                    Idempotency::Keyed { scope: KeyScope::All, window } => {
                         assert!(
-                            suspects.all(|s| now.since(s.sent) < memory),
+                            suspects.all(|s| now.since(s.sent) < window),
                             "rule 2: refused past the window"
                         );
                     }
@@ -200,8 +198,8 @@
                 self.timers.insert((at, token));
             }
             Action::Probe { .. } => assert!(self.set.limits.probes),
-            Action::Tell { .. } => assert!(self.set.limits.peers),
-            Action::CloseIdle { endpoint } => {
+            Action::SendPeerMessage { .. } => assert!(self.set.limits.peers),
+            Action::CloseIdleConnections { endpoint } => {
                 let e: usize = endpoint.0[1..].parse().expect("an endpoint that was listed");
                 self.links[e].idle = false;
             }
@@ -224,12 +222,19 @@
         (links.idle, links.since) = (true, now);
         let took = now.since(known.tries[attempt].sent);
         known.over |= outcome == Outcome::Served;
-        let terminal = known.over;
-        let report = Some(Report { depth: Some(depth), ..Report::default() });
-        self.tell(Event::Outcome(Ended { request: id.clone(), attempt, outcome, took, terminal, report }));
+        let request_ended = known.over;
+        let report = Some(LoadReport { depth: Some(depth), ..LoadReport::default() });
+        self.tell(Event::AttemptEnded(AttemptEnd {
+            request: id.clone(),
+            attempt,
+            outcome,
+            took,
+            request_ended,
+            report,
+        }));
     }
 
-    fn out(&self) -> Vec<(Moment, RequestId, usize)> {
+    fn out(&self) -> Vec<(Timestamp, RequestId, usize)> {
         let mut out = Vec::new();
         for (id, known) in &self.requests {
             let open = known.tries.iter().enumerate().filter(|(_, t)| t.ended.is_none());
@@ -240,7 +245,7 @@
     }
 
     /// Time-outs and timers up to a moment, in order.
-    fn run_to(&mut self, end: Moment) {
+    fn run_to(&mut self, end: Timestamp) {
         loop {
             let timeout = self.out().into_iter().next().filter(|(at, ..)| *at <= end);
             let timer = self.timers.first().copied().filter(|(at, _)| *at <= end);
@@ -275,7 +280,7 @@
         if readiness == Readiness::Draining && !links.told {
             links.since = self.now;
         }
-        links.told = readiness == Readiness::Draining || links.told && readiness == Readiness::Gone;
+        links.told = readiness == Readiness::Draining || links.told && readiness == Readiness::Removed;
     }
 
     /// The instance is killed and starts anew, knowing nothing.
@@ -287,21 +292,25 @@
         self.timers.clear();
         self.links = vec![Links::default(); 6];
         let all = (0..6).filter(|i| self.up[*i]).map(|i| self.entry(i, Readiness::Up)).collect();
-        self.members(News::Stale, all);
+        self.members(ListKind::Cached, all);
     }
 
-    fn members(&mut self, news: News, entries: Vec<Listing>) {
-        self.tell(Event::Members { version: 1, news, entries: entries.into() });
+    fn discovery_failed(&mut self) {
+        self.tell(Event::DiscoveryFailed);
+    }
+
+    fn members(&mut self, kind: ListKind, entries: Vec<EndpointEntry>) {
+        self.tell(Event::EndpointList { version: 1, kind, entries: entries.into() });
     }
 }
 
 fn play(seed: u64, parallel: bool, steps: Vec<Step>) {
     let mut set = settings();
-    set.limits.parallel_tries = parallel;
+    set.limits.parallel_attempts = parallel;
     (set.rules.drain_close, set.rules.order_pause) = (Some(ms(200)), Some(ms(50)));
     [1, 3, 4].iter().for_each(|c: &usize| set.classes[*c].by_arrival = true);
     set.prices.cross_zone = if seed.is_multiple_of(2) { 0.01 } else { 0.0 };
-    set.discovery = if seed.is_multiple_of(3) { Discovery::Asked } else { Discovery::Pushed };
+    set.discovery = if seed.is_multiple_of(3) { DiscoveryMode::OnRequest } else { DiscoveryMode::Pushed };
     let balancer = Balancer::new(set.clone(), seed).expect("settings that make sense");
     let mut world = World {
         set,
@@ -317,7 +326,7 @@
     };
     let mut arrived = 0;
     let all = (0..6).map(|i| world.entry(i, Readiness::Up)).collect();
-    world.members(News::Stale, all);
+    world.members(ListKind::Cached, all);
     for step in steps {
         match step {
             Step::Arrive { class, left, hint, key } => {
@@ -348,32 +357,33 @@
                     world.requests.iter().filter(|(_, k)| !k.over).map(|(id, _)| id.clone()).collect();
                 if let Some(id) = open.get(pick % open.len().max(1)).cloned() {
                     world.requests.get_mut(&id).expect("known").over = true;
-                    world.tell(Event::ClientGone { request: id });
+                    world.tell(Event::ClientDisconnected { request: id });
                 }
             }
             Step::Ready { endpoint, readiness } => {
-                let readiness = [Readiness::Up, Readiness::Draining, Readiness::Gone][usize::from(readiness)];
+                let readiness =
+                    [Readiness::Up, Readiness::Draining, Readiness::Removed][usize::from(readiness)];
                 world.up[endpoint] = readiness == Readiness::Up;
                 world.told(endpoint, readiness);
                 let entry = world.entry(endpoint, readiness);
-                world.members(News::Delta, vec![entry]);
+                world.members(ListKind::Changes, vec![entry]);
             }
             Step::List { missing } => {
                 world.up = (0..6).map(|i| i != missing).collect();
                 (0..6).for_each(|i| {
-                    world.told(i, if i == missing { Readiness::Gone } else { Readiness::Up });
+                    world.told(i, if i == missing { Readiness::Removed } else { Readiness::Up });
                 });
                 let list = (0..6).filter(|i| *i != missing).map(|i| world.entry(i, Readiness::Up)).collect();
-                world.members(News::Full, list);
+                world.members(ListKind::Snapshot, list);
             }
             Step::Restart { endpoint } => {
                 world.since[endpoint] = Some(world.now);
                 world.up[endpoint] = true;
                 world.told(endpoint, Readiness::Up);
                 let entry = world.entry(endpoint, Readiness::Up);
-                world.members(News::Delta, vec![entry]);
+                world.members(ListKind::Changes, vec![entry]);
             }
-            Step::LostNews => world.members(News::Failed, Vec::new()),
+            Step::LostNews => world.discovery_failed(),
             Step::Reborn => world.reborn(),
             Step::Wait { ms: n } => {
                 let end = world.now + ms(n);
@@ -388,8 +398,8 @@
     }
     // Each book is empty again, however requests and attempts ended: nothing was freed twice, or not at all.
     world.tell(Event::Timer { token: 0 });
-    let Census { open, held, out, .. } = world.balancer.census(world.now);
-    assert_eq!((open, held, out), (0, 0, 0), "open, held and out");
+    let BalancerStatus { open, held, in_flight, .. } = world.balancer.status(world.now);
+    assert_eq!((open, held, in_flight), (0, 0, 0), "open, held and in flight");
 }
 
 #[test]
--- /dev/null
+++ b/tests/policy/main.rs
@@ -0,0 +1,21 @@
+//! The decision module, driven event by event. Each test says what of the code it guards.
+
+mod answer_time;
+mod cold_ramp;
+mod cold_ramp_fleet;
+mod cold_tier;
+mod discovery_calls;
+mod hold_queue;
+mod host;
+mod in_flight;
+mod key_order;
+mod legal;
+mod membership;
+mod operators;
+mod outlier;
+mod overload_state;
+mod probing;
+mod retry;
+mod robust;
+mod settings_change;
+mod subset;
--- a/tests/robust.rs
+++ b/tests/policy/robust.rs
@@ -1,9 +1,7 @@
 //! Whatever a host says, the module does not panic, and settings that make no sense are refused.
 
-mod common;
-use common::*;
-use passproxy::api::*;
-use passproxy::choice::Balancer;
+use crate::host::*;
+use pipittray::policy::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, RngSeed, TestRunner};
 use std::time::Duration;
@@ -17,8 +15,8 @@
     ]
 }
 
-fn moment() -> impl Strategy<Value = Moment> {
-    prop_oneof![Just(Moment::default()), Just(Moment::from_nanos(u64::MAX)), (0..5000u64).prop_map(at),]
+fn moment() -> impl Strategy<Value = Timestamp> {
+    prop_oneof![Just(Timestamp::default()), Just(Timestamp::from_nanos(u64::MAX)), (0..5000u64).prop_map(at),]
 }
 
 fn number() -> impl Strategy<Value = f64> {
@@ -36,32 +34,37 @@
     (0..6u8).prop_map(move |n| format!("{prefix}{n}"))
 }
 
-fn report() -> impl Strategy<Value = Option<Report>> {
+fn report() -> impl Strategy<Value = Option<LoadReport>> {
     prop::option::of((number(), number(), number())).prop_map(|r| {
-        r.map(|(depth, in_flight, busy)| Report {
+        r.map(|(depth, in_flight, busy)| LoadReport {
             depth: Some(depth),
             in_flight: Some(in_flight),
             utilisation: Some(busy),
-            ..Report::default()
+            ..LoadReport::default()
         })
     })
 }
 
 fn event() -> impl Strategy<Value = Event> {
-    let news = prop_oneof![Just(News::Full), Just(News::Stale), Just(News::Delta), Just(News::Failed)];
-    let ready = prop_oneof![Just(Readiness::Up), Just(Readiness::Draining), Just(Readiness::Gone)];
+    let kind = prop_oneof![Just(ListKind::Snapshot), Just(ListKind::Cached), Just(ListKind::Changes)];
+    let ready = prop_oneof![Just(Readiness::Up), Just(Readiness::Draining), Just(Readiness::Removed)];
     let entry = (name("e"), ready, number(), prop::option::of(moment())).prop_map(
-        |(e, readiness, size, up_since)| Listing { readiness, size, up_since, ..listing(&e, "a", 0) },
+        |(e, readiness, size, started_at)| EndpointEntry {
+            readiness,
+            size,
+            started_at,
+            ..listing(&e, "a", 0)
+        },
     );
     let outcome = (0..8usize).prop_map(|n| {
         use Outcome::*;
-        [Served, Error, Full, TimedOut, ConnectFailed, Reset, Cancelled, Moot][n]
+        [Served, Error, Rejected, TimedOut, ConnectFailed, Reset, Cancelled, NotSent][n]
     });
     let call =
         (name("r"), 0..9usize, prop::option::of(0..3usize), prop::option::of(name("k")), moment(), time());
     prop_oneof![
-        2 => (news, prop::collection::vec(entry, 0..5))
-            .prop_map(|(news, entries)| Event::Members { version: 0, news, entries: entries.into() }),
+        2 => (kind, prop::collection::vec(entry, 0..5))
+            .prop_map(|(kind, entries)| Event::EndpointList { version: 0, kind, entries: entries.into() }),
         6 => call.prop_map(|(id, class, tenant, key, deadline, hint)| Event::Request(Request {
             id: id.as_str().into(),
             class: ClassId(class),
@@ -73,20 +76,24 @@
             write: false,
         })),
         6 => (name("r"), 0..4usize, outcome, time(), any::<bool>(), report()).prop_map(
-            |(id, attempt, outcome, took, terminal, report)| Event::Outcome(Ended {
-                request: id.as_str().into(), attempt, outcome, took, terminal, report,
+            |(id, attempt, outcome, took, request_ended, report)| Event::AttemptEnded(AttemptEnd {
+                request: id.as_str().into(), attempt, outcome, took, request_ended, report,
             })
         ),
         1 => (name("r"), 0..4usize)
-            .prop_map(|(id, attempt)| Event::Started { request: id.as_str().into(), attempt }),
-        1 => name("r").prop_map(|id| Event::ClientGone { request: id.as_str().into() }),
+            .prop_map(|(id, attempt)| Event::StreamStarted { request: id.as_str().into(), attempt }),
+        1 => name("r").prop_map(|id| Event::ClientDisconnected { request: id.as_str().into() }),
         1 => any::<u64>().prop_map(|token| Event::Timer { token }),
-        1 => (name("e"), time(), report()).prop_map(|(e, took, report)| Event::Probed {
+        1 => (name("e"), time(), report()).prop_map(|(e, took, report)| Event::ProbeEnded {
             endpoint: e.as_str().into(), outcome: Outcome::Served, took, report,
         }),
         1 => Just(Event::PeerMessage { from: PeerId(99), data: vec![1] }),
         1 => (name("e"), any::<bool>())
-            .prop_map(|(e, out)| Event::Banned { endpoint: e.as_str().into(), out }),
+            .prop_map(|(e, out)| {
+                let endpoint = e.as_str().into();
+                if out { Event::EndpointDisabled(endpoint) } else { Event::EndpointEnabled(endpoint) }
+            }),
+        1 => Just(Event::DiscoveryFailed),
     ]
 }
 
@@ -124,10 +131,11 @@
     TestRunner::new(config)
         .run(&input, |(seed, events)| {
             let mut set = settings();
-            (set.classes[1].by_arrival, set.classes[0].aim_stretch) = (true, 1e9);
+            (set.classes[1].by_arrival, set.classes[0].objective_stretch) = (true, 1e9);
             set.rules.order_pause = Some(ms(50));
             set.rules.drain_close = Some(ms(50));
-            set.discovery = if seed.is_multiple_of(2) { Discovery::Asked } else { Discovery::Pushed };
+            set.discovery =
+                if seed.is_multiple_of(2) { DiscoveryMode::OnRequest } else { DiscoveryMode::Pushed };
             set.tenants = tenants(1);
             let mut balancer = Balancer::new(set.clone(), seed).expect("settings that make sense");
             let mut out = Vec::new();
@@ -138,7 +146,8 @@
                         let mut set = set.clone();
                         set.classes.truncate(classes);
                         (set.classes[0].worth, set.tenants) = (worth, tenants(n));
-                        let ids = balancer.retune(now, set, &mut out).expect("settings that make sense");
+                        let ids =
+                            balancer.change_settings(now, set, &mut out).expect("settings that make sense");
                         prop_assert_eq!(ids.len(), classes);
                     }
                 }
@@ -166,10 +175,10 @@
         Event::Request(unknown(99, None)),
         Event::Request(unknown(0, Some(TenantId(3)))),
         Event::Request(Request { id: id.clone(), ..unknown(0, None) }),
-        Event::ClientGone { request: "nobody".into() },
-        Event::Started { request: "nobody".into(), attempt: 0 },
-        Event::Started { request: id.clone(), attempt: 7 },
-        Event::Probed { endpoint: "nowhere".into(), outcome: Outcome::Served, took: ms(1), report: None },
+        Event::ClientDisconnected { request: "nobody".into() },
+        Event::StreamStarted { request: "nobody".into(), attempt: 0 },
+        Event::StreamStarted { request: id.clone(), attempt: 7 },
+        Event::ProbeEnded { endpoint: "nowhere".into(), outcome: Outcome::Served, took: ms(1), report: None },
     ];
     for event in events {
         let told = format!("{event:?}");
@@ -189,13 +198,15 @@
         ("limits.max_attempts", |s| s.limits.max_attempts = 0),
         ("classes[1].worth", |s| s.classes[1].worth = f64::NAN),
         ("classes[0].late_share", |s| s.classes[0].late_share = 1.5),
-        ("classes[2].aim", |s| s.classes[2].aim = Duration::ZERO),
+        ("classes[2].objective", |s| s.classes[2].objective = Duration::ZERO),
         ("classes[2].deadline", |s| s.classes[2].deadline = Duration::MAX),
         ("rules.cold_from", |s| s.rules.cold_from = -0.1),
         ("rules.fall_multiple", |s| s.rules.fall_multiple = f64::INFINITY),
         ("rules.drain_close", |s| s.rules.drain_close = Some(Duration::MAX)),
         ("prices.cross_zone", |s| s.prices.cross_zone = f64::NAN),
-        ("rules.ask_within", |s| (s.discovery, s.rules.ask_within) = (Discovery::Asked, Duration::ZERO)),
+        ("rules.ask_within", |s| {
+            (s.discovery, s.rules.ask_within) = (DiscoveryMode::OnRequest, Duration::ZERO)
+        }),
     ];
     assert!(Balancer::new(settings(), 1).is_ok());
     for (field, spoil) in cases {
--- a/tests/sidecar/bans.rs
+++ b/tests/sidecar/bans.rs
@@ -122,11 +122,11 @@
     let (folder, discovery) = (folder(), Discovery::start());
     let endpoint = Endpoint::start(|_| ok(""));
     for text in [&b""[..], b"[\"e0", b"{\"e0\":true}", b"\xff\xfe", &vec![b'['; 3 << 20]] {
-        std::fs::write(folder.join("rowanway.bans"), text).expect("a file");
+        std::fs::write(folder.join("pipittray.disabled"), text).expect("a file");
         let sidecar = start(&folder, &discovery, &[&endpoint], None);
         assert!(sidecar.says_yes("READY"));
         assert!(sidecar.says_yes("DISABLE e0") && sidecar.says_yes("ENABLE e0"));
-        let kept = std::fs::read_to_string(folder.join("rowanway.bans")).expect("it is written anew");
+        let kept = std::fs::read_to_string(folder.join("pipittray.disabled")).expect("it is written anew");
         assert_eq!(kept, "[]");
     }
     std::fs::remove_dir_all(folder).expect("it goes");
--- a/tests/sidecar/leaving.rs
+++ b/tests/sidecar/leaving.rs
@@ -158,12 +158,12 @@
     let count = |name: &str| sidecar.counted(name);
     awaits("the counts are told", || count("requests") == all as u64);
     assert_eq!(
-        (count("gone"), count("served")),
+        (count("disconnected"), count("served")),
         (WAYS.len() as u64, ids.len() as u64),
         "{:?}",
         sidecar.log()
     );
-    assert!(sidecar.log().iter().any(|l| l.contains("now open=0 held=0 out=0")), "{:?}", sidecar.log());
+    assert!(sidecar.log().iter().any(|l| l.contains("now open=0 held=0 in_flight=0")), "{:?}", sidecar.log());
 }
 
 /// Guards the hold: in the first tier, where clients call.
@@ -255,7 +255,7 @@
     holds.awaits("all that is large is taken", |sidecar| sidecar.counted("requests") == 9);
     leave.into_iter().chain(half).for_each(|(how, client)| client.leaves(how));
     holds.has_pending(0);
-    holds.awaits("all of them have left", |sidecar| sidecar.counted("gone") == 8);
+    holds.awaits("all of them have left", |sidecar| sidecar.counted("disconnected") == 8);
     holds.lets_go();
     assert!(stays.is_served());
     assert_eq!(holds.saw(), [id(&request)]);
--- /dev/null
+++ b/tests/sidecar/stubs/mod.rs
@@ -0,0 +1,15 @@
+//! The program under test, and stand-ins for its callers, endpoints and discovery, all on loopback sockets.
+
+mod caller;
+mod discovery;
+mod endpoint;
+mod message;
+mod program;
+mod scripted;
+
+pub use caller::*;
+pub use discovery::*;
+pub use endpoint::*;
+pub use message::*;
+pub use program::*;
+pub use scripted::*;
--- a/tests/sidecar/upgrade.rs
+++ b/tests/sidecar/upgrade.rs
@@ -198,7 +198,7 @@
 fn what_is_no_process_before_does_not_matter() {
     let endpoint = Endpoint::start(|_| ok("x"));
     let place = Place::over(&[&endpoint]);
-    let socket = place.folder.join("rowanway.sock");
+    let socket = place.folder.join("pipittray.sock");
     std::fs::write(&socket, "no socket").expect("a file");
     assert!(place.start(None).says_yes("READY"));
     // What the last one left is stale.
--- a/tests/wire.rs
+++ b/tests/simulator.rs
@@ -10,7 +10,7 @@
 }
 
 fn adapter(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_passproxy-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_pipittray-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -204,12 +204,12 @@
 
 #[test]
 fn optional_parts_of_actions_are_written_only_where_given() {
-    use passproxy::api::*;
-    use passproxy::wire::{InstanceNo, format_action};
+    use pipittray::policy::*;
+    use pipittray::simulator::{InstanceNumber, format_action};
     let ms = std::time::Duration::from_millis;
     let written = |action: Action| {
         let mut reply = String::new();
-        format_action(&mut reply, InstanceNo(3), &action);
+        format_action(&mut reply, InstanceNumber(3), &action);
         reply
     };
     let (request, endpoint) = (RequestId::from("r"), EndpointId::from("e"));
@@ -218,7 +218,7 @@
     let refuse = |retry_after| Action::Refuse { request: request.clone(), retry_after };
     assert_eq!(written(refuse(None)), "decline sidecarId=sidecar/3 xid=r\n");
     assert_eq!(written(refuse(Some(ms(1)))), "decline sidecarId=sidecar/3 xid=r pauseNs=1000000\n");
-    let abandon = Action::Abandon { request: request.clone(), attempt: 2 };
+    let abandon = Action::Cancel { request: request.clone(), attempt: 2 };
     assert_eq!(written(abandon), "abandon sidecarId=sidecar/3 xid=r attempt=2\n");
     assert_eq!(written(Action::Fail { request }), "report_failure sidecarId=sidecar/3 xid=r\n");
     assert_eq!(written(Action::Subscribe(false)), "track sidecarId=sidecar/3 active=0\n");
@@ -227,11 +227,14 @@
         written(Action::Probe { endpoint: endpoint.clone() }),
         "poll sidecarId=sidecar/3 endpoint=e\n"
     );
-    assert_eq!(written(Action::CloseIdle { endpoint }), "free_links sidecarId=sidecar/3 endpoint=e\n");
-    let tell = Action::Tell { to: None, data: b"hi 7".to_vec() };
+    assert_eq!(
+        written(Action::CloseIdleConnections { endpoint }),
+        "free_links sidecarId=sidecar/3 endpoint=e\n"
+    );
+    let tell = Action::SendPeerMessage { to: None, data: b"hi 7".to_vec() };
     assert_eq!(written(tell), "notify sidecarId=sidecar/3 neighbourId=-1 data=aGkgNw==\n");
     assert_eq!(
-        written(Action::Tell { to: Some(PeerId(4)), data: vec![] }),
+        written(Action::SendPeerMessage { to: Some(PeerId(4)), data: vec![] }),
         "notify sidecarId=sidecar/3 neighbourId=4 data=-\n"
     );
     assert_eq!(written(Action::Log("a\nb".into())), "trace sidecarId=sidecar/3 noteText=a b\n");
@@ -239,7 +242,8 @@
 
 #[test]
 fn the_further_rules_and_kinds_come_through_and_are_absent_where_not_given() {
-    use passproxy::wire::{Line, parse_line, parse_settings};
+    use pipittray::settings_document::parse_settings;
+    use pipittray::simulator::{Message, parse_message};
     use std::time::Duration;
     let plain = parse_settings(&params(0)).expect("settings");
     assert_eq!((plain.rules.drain_close, plain.rules.order_pause), (None, None));
@@ -251,8 +255,8 @@
     assert_eq!(further.rules.drain_close, Some(Duration::from_millis(500)));
     assert_eq!(further.rules.order_pause, Some(Duration::ZERO));
     assert_eq!(further.classes.iter().map(|c| c.by_arrival).collect::<Vec<_>>(), [false, true]);
-    let kind_of = |line: &str| match parse_line(line).expect("an entry") {
-        Line::Entry(listing) => listing.kind,
+    let kind_of = |line: &str| match parse_message(line).expect("an entry") {
+        Message::Entry(entry) => entry.kind,
         other => panic!("{other:?}"),
     };
     let entry = "entry endpoint=e zone=z pack=0 readiness=U size=1 later=1";
