Have no two files of the lab import each other in a circle

Cause: types that a folder's mod.rs defined were imported by the files that it re-exports, and a hollow sidecar's calls and attempts imported the member that imported them (tests/source_layout.rs, run over lab/src, named 33 files).

Change: such types have files of their own, a mod.rs only names and re-exports; calls and attempts reach their member by the small traits Callee and AttemptOwner. No behaviour changes. Result: tests/source_layout.rs covers lab/src too, and passes; the lab's tests pass.

--- a/lab/src/caller/event_loop.rs
+++ b/lab/src/caller/event_loop.rs
@@ -2,11 +2,12 @@
 
 use super::connection::{Connection, ConnectionError};
 use super::connection_table::{ConnectionTable, Exchange, Token};
+use super::plan::LoadPlan;
 use super::poller::{Poller, Readiness};
 use super::request::{RequestIds, RequestTemplate};
 use super::response::Answer;
+use super::result::TargetResult;
 use super::schedule::{Arrival, Schedule};
-use super::{LoadPlan, TargetResult};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::io;
--- a/lab/src/caller/request.rs
+++ b/lab/src/caller/request.rs
@@ -1,6 +1,6 @@
 //! Requests in the form of the protocol page.
 
-use super::LoadTarget;
+use super::plan::LoadTarget;
 use std::sync::atomic::{AtomicU32, Ordering};
 
 /// Bytes of the body of a request that is unsafe to repeat.
--- a/lab/src/discovery/connection.rs
+++ b/lab/src/discovery/connection.rs
@@ -3,7 +3,7 @@
 use super::protocol::{self, Call, Request};
 use super::registry::Change;
 use super::service::{CountGuard, Service, WaitOutcome};
-use super::zone::ZoneState;
+use super::zone_state::ZoneState;
 use bytes::BytesMut;
 use socket2::SockRef;
 use std::future::pending;
--- a/lab/src/discovery/protocol.rs
+++ b/lab/src/discovery/protocol.rs
@@ -1,6 +1,6 @@
 //! The protocol's text: requests as they are read, and answers and chunks as they are written.
 
-use super::EndpointEntry;
+use super::entry::EndpointEntry;
 use bytes::{Buf, Bytes, BytesMut};
 use hyper::Uri;
 use serde::Serialize;
--- a/lab/src/discovery/registry.rs
+++ b/lab/src/discovery/registry.rs
@@ -1,6 +1,7 @@
 //! The endpoints by version, and the past changes from which a watch can go on.
 
-use super::{EndpointEntry, EndpointStatus, protocol};
+use super::entry::{EndpointEntry, EndpointStatus};
+use super::protocol;
 use bytes::Bytes;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
--- a/lab/src/discovery/server.rs
+++ b/lab/src/discovery/server.rs
@@ -1,8 +1,10 @@
 //! The service's thread: it carries out the commands of other threads, next to the tasks of its connections.
 
+use super::entry::EndpointEntry;
+use super::options::DiscoveryOptions;
 use super::service::Service;
+use super::usage::DiscoveryUsage;
 use super::zone::Zone;
-use super::{DiscoveryOptions, DiscoveryUsage, EndpointEntry};
 use crate::topology::ZoneName;
 use rustix::time::{ClockId, clock_gettime};
 use std::collections::BTreeMap;
--- a/lab/src/discovery/service.rs
+++ b/lab/src/discovery/service.rs
@@ -1,8 +1,10 @@
 //! What all connections share: the registry, the queue of calls, the stream of changes and the counts.
 
+use super::entry::EndpointEntry;
+use super::options::DiscoveryOptions;
 use super::registry::{Change, Registry};
 use super::turns::{Turn, Turns};
-use super::{DiscoveryOptions, DiscoveryUsage, EndpointEntry};
+use super::usage::DiscoveryUsage;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
--- a/lab/src/discovery/zone.rs
+++ b/lab/src/discovery/zone.rs
@@ -2,9 +2,10 @@
 
 use super::connection;
 use super::service::Service;
+use super::zone_state::ZoneState;
 use crate::topology::ZoneName;
 use socket2::{Domain, Protocol, Socket, Type};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -57,14 +58,6 @@
     Ok(socket)
 }
 
-/// What a zone's connections see of it.
-pub(super) struct ZoneState {
-    /// Whether the zone is cut off.
-    pub(super) silent: watch::Sender<bool>,
-    /// Watches that are open and not cut off.
-    pub(super) watches: Rc<Cell<u64>>,
-}
-
 type Connections = Rc<RefCell<JoinSet<()>>>;
 
 /// A zone: its address, its listener unless discovery is down, and its connections.
--- a/lab/src/endpoint/connection.rs
+++ b/lab/src/endpoint/connection.rs
@@ -1,7 +1,7 @@
 //! HTTP/1.1 on one connection of an endpoint: one request at a time, each answered with one write.
 
 use super::downstream::Downstream;
-use super::message::{Answer, Request, RequestError};
+use super::message::{Answer, READ_BYTES, Request, RequestError};
 use super::state::EndpointState;
 use super::work::{Admission, Core, CorePool, LoadReport, QueuePlace};
 use bytes::BytesMut;
@@ -14,9 +14,6 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-/// Room for each read, in bytes.
-pub(super) const READ_BYTES: usize = 1024;
-
 /// The most bytes that are read ahead while a request waits for its turn; more stay with the kernel.
 const MAX_AHEAD_BYTES: usize = 16 * 1024;
 
--- a/lab/src/endpoint/message.rs
+++ b/lab/src/endpoint/message.rs
@@ -8,6 +8,8 @@
 /// The most headers of a request or of a sidecar's response.
 pub(super) const MAX_HEADERS: usize = 64;
 
+/// Room for each read, in bytes.
+pub(super) const READ_BYTES: usize = 1024;
 /// The longest request line with headers, in bytes.
 pub(super) const MAX_HEAD_BYTES: usize = 16 * 1024;
 
--- /dev/null
+++ b/lab/src/endpoint/options.rs
@@ -0,0 +1,79 @@
+//! How an endpoint behaves.
+
+use serde::{Deserialize, Serialize};
+
+/// The longest service time that is taken, in milliseconds: a day.
+const LONGEST_SERVICE_MILLISECONDS: f64 = 86_400_000.0;
+
+/// How long an endpoint works on a request.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "kebab-case", deny_unknown_fields)]
+pub enum ServiceTime {
+    /// It answers at once.
+    None,
+    /// Always the same time.
+    Fixed {
+        /// In milliseconds.
+        milliseconds: f64,
+    },
+    /// Exponentially distributed.
+    Exponential {
+        /// Its mean, in milliseconds.
+        mean_milliseconds: f64,
+    },
+}
+
+/// How an endpoint's capacity grows after its start.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdRamp {
+    /// The part of its full capacity that it starts with.
+    pub from: f64,
+    /// How long it takes to warm up, in milliseconds.
+    pub milliseconds: u64,
+}
+
+/// How an endpoint behaves.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EndpointOptions {
+    /// Requests that it works on at once.
+    pub cores: u32,
+    /// Requests that may wait; any further one is turned away with 503 and `X-Not-Run: 1`.
+    pub queue: u32,
+    /// How long it works on a request.
+    pub service_time: ServiceTime,
+    /// How its capacity grows after its start.
+    pub cold_ramp: Option<ColdRamp>,
+    /// Whether its answers carry a load report, and probes are answered.
+    pub load_reports: bool,
+    /// Bytes of an answer's body.
+    pub answer_bytes: usize,
+    /// Share of the requests that are answered 500 after their work.
+    #[serde(default)]
+    pub error_share: f64,
+}
+
+impl EndpointOptions {
+    /// What makes no sense in them, if anything does.
+    pub(super) fn check(&self) -> Result<(), &'static str> {
+        if self.cores == 0 {
+            return Err("an endpoint needs a core");
+        }
+        if !(0.0..=1.0).contains(&self.error_share) {
+            return Err("error_share must be from 0 to 1");
+        }
+        if self.cold_ramp.is_some_and(|ramp| !(ramp.from > 0.0 && ramp.from <= 1.0)) {
+            return Err("cold_ramp.from must be above 0 and at most 1");
+        }
+        let milliseconds = match self.service_time {
+            ServiceTime::None => return Ok(()),
+            ServiceTime::Fixed { milliseconds } => milliseconds,
+            ServiceTime::Exponential { mean_milliseconds } => mean_milliseconds,
+        };
+        if !(milliseconds > 0.0 && milliseconds <= LONGEST_SERVICE_MILLISECONDS) {
+            return Err("a service time must be above 0 and at most a day");
+        }
+        Ok(())
+    }
+}
--- a/lab/src/endpoint/response.rs
+++ b/lab/src/endpoint/response.rs
@@ -1,8 +1,7 @@
 //! Reading a sidecar's response: its status, its body (which is dropped), and whether its connection can be used
 //! again.
 
-use super::connection::READ_BYTES;
-use super::message::{MAX_HEAD_BYTES, MAX_HEADERS};
+use super::message::{MAX_HEAD_BYTES, MAX_HEADERS, READ_BYTES};
 use bytes::{Buf, BytesMut};
 use std::io;
 use tokio::io::AsyncReadExt;
--- a/lab/src/endpoint/state.rs
+++ b/lab/src/endpoint/state.rs
@@ -1,6 +1,7 @@
 //! What an endpoint's handles and the thread that runs it share: its address, its silence and its counts.
 
-use super::{EndpointOptions, EndpointUsage};
+use super::options::EndpointOptions;
+use super::usage::EndpointUsage;
 use crate::topology::{EndpointName, ZoneName};
 use rand_pcg::Pcg64;
 use socket2::{Domain, Protocol, Socket, Type};
--- /dev/null
+++ b/lab/src/endpoint/usage.rs
@@ -0,0 +1,22 @@
+//! What an endpoint has done.
+
+use serde::Serialize;
+
+/// Counts since the endpoint's first start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct EndpointUsage {
+    /// Connections that were accepted.
+    pub connections: u64,
+    /// Connections open now.
+    pub connections_open: u64,
+    /// Requests that came whole.
+    pub requests: u64,
+    /// Requests that were answered 200.
+    pub served: u64,
+    /// Requests that were turned away.
+    pub turned_away: u64,
+    /// Requests whose call to the next tier failed, answered 500.
+    pub failed: u64,
+    /// Probes (`/health` and `/status/load`).
+    pub probes: u64,
+}
--- a/lab/src/endpoint/work.rs
+++ b/lab/src/endpoint/work.rs
@@ -1,6 +1,6 @@
 //! An endpoint's cores and the queue before them, the time that work takes, and the load report.
 
-use super::{ColdRamp, EndpointOptions, ServiceTime};
+use super::options::{ColdRamp, EndpointOptions, ServiceTime};
 use rand::RngExt;
 use rand_distr::{Distribution, Exp1};
 use rand_pcg::Pcg64;
--- a/lab/src/scenario/chain.rs
+++ b/lab/src/scenario/chain.rs
@@ -1,11 +1,12 @@
 //! A chain of tiers: each endpoint but those of the last tier answers through a sidecar of its own, which balances over
 //! the endpoints of the next tier.
 
+use super::context::RunContext;
+use super::findings::ScenarioError;
 use super::single::{
     CALLER_DEADLINE, Place, add_endpoint, configuration, start_discovery, start_host, start_sidecar,
     wait_until_ready,
 };
-use super::{RunContext, ScenarioError};
 use crate::discovery::DiscoveryServer;
 use crate::endpoint::{EndpointHandle, EndpointHost, EndpointOptions};
 use crate::sidecar::process::SidecarProcess;
--- /dev/null
+++ b/lab/src/scenario/context.rs
@@ -0,0 +1,10 @@
+//! What all experiments of a run share.
+
+use std::path::PathBuf;
+
+/// What all experiments of a run share.
+#[derive(Clone, Debug)]
+pub struct RunContext {
+    /// The built sidecar program.
+    pub program: PathBuf,
+}
--- a/lab/src/scenario/control_cost.rs
+++ b/lab/src/scenario/control_cost.rs
@@ -1,9 +1,10 @@
 //! Processor time and bytes for changes of the list, probes and reloads of a real sidecar.
 
+use super::context::RunContext;
+use super::findings::{Findings, ScenarioError};
 use super::latency::toggle_weight;
 use super::series::Series;
 use super::single::{CALLER_DEADLINE, SAFE_CLASS, Single, SingleOptions, unserved};
-use super::{Findings, RunContext, ScenarioError};
 use crate::caller::{self, LoadPlan, LoadTarget};
 use crate::discovery::EndpointEntry;
 use crate::endpoint::{EndpointHandle, EndpointOptions, ServiceTime};
--- a/lab/src/scenario/depth.rs
+++ b/lab/src/scenario/depth.rs
@@ -1,9 +1,10 @@
 //! Chains of tiers, each with its real sidecar: latency that they add, and attempts that retries multiply, by depth.
 
 use super::chain::{Chain, ChainOptions, start_straight_chain};
+use super::context::RunContext;
+use super::findings::{Findings, ScenarioError};
 use super::series::Series;
 use super::single::{CALLER_DEADLINE, SAFE_CLASS, quantile_ms, unserved};
-use super::{Findings, RunContext, ScenarioError};
 use crate::caller::{self, LoadPlan, LoadTarget, TargetResult};
 use crate::endpoint::EndpointOptions;
 use crate::experiment::{AddedLatencyByDepth, RetryAmplification};
--- a/lab/src/scenario/failures.rs
+++ b/lab/src/scenario/failures.rs
@@ -8,19 +8,17 @@
 mod cost;
 mod injection;
 
+use super::findings::{Findings, ScenarioError};
 use super::fleet::{FleetPlan, KnownEndpoints, RunningFleet, endpoint_entry};
 use super::series::Series;
-use super::{Findings, ScenarioError};
 use crate::experiment::Failures;
 use crate::fault::{Fault, Impact};
 use crate::topology::Topology;
-use cost::{FaultCost, record};
+use cost::{FaultCost, LONGEST_UNTIL_CURRENT, record};
 use injection::FaultInjector;
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// How long the list may take to be current everywhere after a fault's end.
-const LONGEST_UNTIL_CURRENT: Duration = Duration::from_secs(30);
 /// What every figure's sizes count.
 const FAULT_NUMBER: &str = "fault";
 
--- a/lab/src/scenario/failures/cost.rs
+++ b/lab/src/scenario/failures/cost.rs
@@ -1,9 +1,12 @@
 //! What a fleet's timeline says of a fault.
 
-use super::LONGEST_UNTIL_CURRENT;
 use crate::scenario::fleet::add_arrivals;
 use crate::scenario::series::Series;
 use crate::sidecar::hollow::{Arrivals, HollowSecond};
+use std::time::Duration;
+
+/// How long the list may take to be current everywhere after a fault's end.
+pub(super) const LONGEST_UNTIL_CURRENT: Duration = Duration::from_secs(30);
 
 /// A second with a smaller share of calls not served counts as recovered.
 const RECOVERED_SHARE: f64 = 0.01;
--- a/lab/src/scenario/fleet.rs
+++ b/lab/src/scenario/fleet.rs
@@ -5,7 +5,7 @@
 
 pub(super) use figures::{add_arrivals, add_discovery_calls, merge};
 
-use super::ScenarioError;
+use super::findings::ScenarioError;
 use crate::discovery::{DiscoveryOptions, DiscoveryServer, EndpointEntry, EndpointStatus};
 use crate::experiment::{DiscoveryCapacity, Fleet};
 use crate::sidecar::configuration::{RequestClass, SidecarConfiguration};
--- a/lab/src/scenario/fleet_restart.rs
+++ b/lab/src/scenario/fleet_restart.rs
@@ -1,8 +1,8 @@
 //! Time until all sidecars are ready that restart at once, by fleet size.
 
+use super::findings::{Findings, ScenarioError};
 use super::fleet::{FleetPlan, KnownEndpoints, RunningFleet, add_arrivals, add_discovery_calls};
 use super::series::Series;
-use super::{Findings, ScenarioError};
 use crate::experiment::FleetRestart;
 use std::time::{Duration, Instant};
 
--- a/lab/src/scenario/latency.rs
+++ b/lab/src/scenario/latency.rs
@@ -1,10 +1,11 @@
 //! Latency that one real sidecar adds, and its processor time a call, by rate.
 
+use super::context::RunContext;
+use super::findings::{Findings, ScenarioError};
 use super::series::Series;
 use super::single::{
     CALLER_DEADLINE, SAFE_CLASS, Single, SingleOptions, UNSAFE_CLASS, quantile_ms, unserved,
 };
-use super::{Findings, RunContext, ScenarioError};
 use crate::caller::{self, LoadPlan, LoadTarget, TargetResult};
 use crate::discovery::{DiscoveryServer, EndpointEntry};
 use crate::endpoint::EndpointHandle;
--- a/lab/src/scenario/memory.rs
+++ b/lab/src/scenario/memory.rs
@@ -1,9 +1,10 @@
 //! A real sidecar's memory by listed endpoints, open requests and callers' connections.
 
+use super::context::RunContext;
+use super::findings::{Findings, ScenarioError};
 use super::held::HeldConnections;
 use super::series::Series;
 use super::single::{CALLER_DEADLINE, Single, SingleOptions};
-use super::{Findings, RunContext, ScenarioError};
 use crate::endpoint::{EndpointOptions, ServiceTime};
 use crate::experiment::Memory;
 use crate::measure::ProcessUsage;
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -1,9 +1,11 @@
 //! How each kind of experiment is run: what is started, loaded, broken and measured, in which order.
 
 mod chain;
+mod context;
 mod control_cost;
 mod depth;
 mod failures;
+mod findings;
 mod fleet;
 mod fleet_restart;
 mod held;
@@ -14,52 +16,13 @@
 mod series;
 mod single;
 
+pub use context::RunContext;
+pub use findings::{Findings, ScenarioError};
+
 use crate::experiment::{Experiment, Measurement};
-use crate::report::{ExperimentReport, Figure};
-use std::io;
-use std::path::PathBuf;
+use crate::report::ExperimentReport;
 use std::time::Instant;
 
-/// What all experiments of a run share.
-#[derive(Clone, Debug)]
-pub struct RunContext {
-    /// The built sidecar program.
-    pub program: PathBuf,
-}
-
-/// What an experiment has found.
-#[derive(Clone, Debug, Default)]
-pub struct Findings {
-    /// Its figures.
-    pub figures: Vec<Figure>,
-    /// What went wrong without ending it.
-    pub problems: Vec<String>,
-}
-
-/// Why an experiment could not be run to its end.
-#[derive(Debug, thiserror::Error)]
-pub enum ScenarioError {
-    /// Something could not be started, or ended too early.
-    #[error("{step}: {source}")]
-    Step {
-        /// What was being done.
-        step: String,
-        /// Why it failed.
-        source: io::Error,
-    },
-    /// A state that the experiment needs was not reached.
-    #[error("{0}")]
-    NotReached(String),
-}
-
-impl ScenarioError {
-    /// A step that failed, for `map_err`.
-    pub fn step(step: impl Into<String>) -> impl FnOnce(io::Error) -> Self {
-        let step = step.into();
-        move |source| ScenarioError::Step { step, source }
-    }
-}
-
 /// Runs one experiment.
 ///
 /// # Errors
--- a/lab/src/scenario/outage.rs
+++ b/lab/src/scenario/outage.rs
@@ -1,8 +1,8 @@
 //! Time until the list is current everywhere after discovery was down, by fleet size.
 
+use super::findings::{Findings, ScenarioError};
 use super::fleet::{FleetPlan, KnownEndpoints, RunningFleet, add_arrivals, add_discovery_calls};
 use super::series::Series;
-use super::{Findings, ScenarioError};
 use crate::experiment::Outage;
 use std::thread;
 use std::time::{Duration, Instant};
--- a/lab/src/scenario/propagation.rs
+++ b/lab/src/scenario/propagation.rs
@@ -1,8 +1,8 @@
 //! Time until a change is known everywhere, and what it costs discovery, by fleet size.
 
+use super::findings::{Findings, ScenarioError};
 use super::fleet::{FleetPlan, KnownEndpoints, RunningFleet, add_arrivals, merge};
 use super::series::Series;
-use super::{Findings, ScenarioError};
 use crate::discovery::DiscoveryUsage;
 use crate::experiment::Propagation;
 use crate::sidecar::hollow::Arrivals;
--- a/lab/src/scenario/single.rs
+++ b/lab/src/scenario/single.rs
@@ -1,6 +1,7 @@
 //! What experiments with one real sidecar share: its endpoints, a discovery service that lists them, and the sidecar.
 
-use super::{RunContext, ScenarioError};
+use super::context::RunContext;
+use super::findings::ScenarioError;
 use crate::caller::TargetResult;
 use crate::discovery::{DiscoveryOptions, DiscoveryServer, EndpointEntry};
 use crate::endpoint::{EndpointHandle, EndpointHost, EndpointOptions};
--- a/lab/src/sidecar/hollow/attempts.rs
+++ b/lab/src/sidecar/hollow/attempts.rs
@@ -1,8 +1,7 @@
 //! Attempts and probes that are answered in memory.
 
-use super::FleetState;
 use super::endpoints::SimulatedEndpoint;
-use super::member::MemberHandle;
+use super::fleet_state::FleetState;
 use pipittray::policy::{AttemptNumber, EndpointId, LoadReport, Outcome, Reporting, RequestId, Timestamp};
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,6 +12,15 @@
 /// A probe that is not answered for this long has failed, as at the real sidecar.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Who is told how attempts and probes end.
+pub(super) trait AttemptOwner {
+    /// An attempt has ended.
+    fn attempt_ended(&self, request: &RequestId, attempt: AttemptNumber, ending: Ending);
+
+    /// A probe has ended.
+    fn probe_ended(&self, probe: &Probe, took: Duration, ending: Ending);
+}
+
 /// An attempt to be made.
 pub(super) struct Attempt {
     pub request: RequestId,
@@ -49,9 +57,9 @@
 }
 
 /// Makes an attempt and tells the sidecar how it ended.
-pub(super) async fn attempt(member: MemberHandle, fleet: Arc<FleetState>, attempt: Attempt) {
+pub(super) async fn attempt(owner: impl AttemptOwner, fleet: Arc<FleetState>, attempt: Attempt) {
     let ending = attempt.answer(&fleet).await;
-    member.attempt_ended(&attempt.request, attempt.number, ending);
+    owner.attempt_ended(&attempt.request, attempt.number, ending);
 }
 
 impl Attempt {
@@ -77,10 +85,10 @@
 }
 
 /// Makes a probe and tells the sidecar how it ended.
-pub(super) async fn probe(member: MemberHandle, probe: Probe) {
+pub(super) async fn probe(owner: impl AttemptOwner, probe: Probe) {
     let sent = Instant::now();
     let ending = probe.answer().await;
-    member.probe_ended(&probe, sent.elapsed(), ending);
+    owner.probe_ended(&probe, sent.elapsed(), ending);
 }
 
 impl Probe {
--- a/lab/src/sidecar/hollow/calls.rs
+++ b/lab/src/sidecar/hollow/calls.rs
@@ -1,6 +1,5 @@
 //! Callers of a hollow sidecar: when calls arrive, and those that are open.
 
-use super::member::MemberHandle;
 use super::task::Task;
 use pipittray::policy::{AttemptNumber, RequestId, Timestamp};
 use std::collections::HashMap;
@@ -10,13 +9,22 @@
 /// The longest pause between two calls, so that no sum overflows.
 const LONGEST_GAP: Duration = Duration::from_secs(3600);
 
+/// Whose calls arrive.
+pub(super) trait Callee {
+    /// The time between two calls; none where no calls come.
+    fn time_to_next_call(&self) -> Option<Duration>;
+
+    /// A call arrives.
+    fn call(&self);
+}
+
 /// Makes calls without end, as a Poisson process: whether earlier ones were answered makes no difference.
-pub(super) async fn arrivals(member: MemberHandle) {
+pub(super) async fn arrivals(callee: impl Callee) {
     let mut due = Instant::now();
-    while let Some(gap) = member.time_to_next_call() {
+    while let Some(gap) = callee.time_to_next_call() {
         due += gap.min(LONGEST_GAP);
         sleep_until(due).await;
-        member.call();
+        callee.call();
     }
 }
 
--- a/lab/src/sidecar/hollow/counters.rs
+++ b/lab/src/sidecar/hollow/counters.rs
@@ -1,6 +1,6 @@
 //! What a fleet counts, in all and for each second.
 
-use super::{HollowSecond, HollowUsage};
+use super::usage::{HollowSecond, HollowUsage};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
--- /dev/null
+++ b/lab/src/sidecar/hollow/fleet_state.rs
@@ -0,0 +1,17 @@
+//! What the sidecars of a fleet share.
+
+use super::counters::Counters;
+use super::endpoints::EndpointTable;
+use super::load::HollowLoad;
+use super::milestones::Milestones;
+
+/// What the sidecars of a fleet share: counters, and the endpoints that answer them.
+pub(super) struct FleetState {
+    pub(super) load: HollowLoad,
+    /// What the mean rate of calls is multiplied by, for each sidecar.
+    pub(super) rate_multiples: Vec<f64>,
+    pub(super) counters: Counters,
+    pub(super) endpoints: EndpointTable,
+    /// One for each sidecar.
+    pub(super) milestones: Vec<Milestones>,
+}
--- a/lab/src/sidecar/hollow/member.rs
+++ b/lab/src/sidecar/hollow/member.rs
@@ -1,9 +1,9 @@
 //! One hollow sidecar: a decision module with its open calls, attempts and timers, and the only place that calls it.
 
-use super::FleetState;
-use super::attempts::{self, Attempt, Ending, Probe};
-use super::calls::{self, NextAttempt, OpenCalls};
+use super::attempts::{self, Attempt, AttemptOwner, Ending, Probe};
+use super::calls::{self, Callee, NextAttempt, OpenCalls};
 use super::clock::Clock;
+use super::fleet_state::FleetState;
 use super::plan::MemberPlan;
 use super::task::Task;
 use pipittray::discovery::{self, DiscoveryError, EndpointList, ListConsumer, Membership, OlderList, Source};
@@ -169,10 +169,27 @@
         }
     }
 
-    // ---- Calls -------------------------------------------------------------------------------------------
 
+    fn learn(&self, list: EndpointList, kind: ListKind) {
+        let mut member = self.borrow();
+        let entries = member.membership.update(&list, kind).entries.into();
+        let Identity { place, start } = member.identity;
+        let milestones = &member.fleet.milestones[place];
+        milestones.has_version(start, list.index);
+        let is_ready = member.membership.serving().next().is_some();
+        milestones.is_ready(start, is_ready);
+        if is_ready && !member.has_callers {
+            member.has_callers = true;
+            spawn_local(calls::arrivals(self.clone()));
+        }
+        drop(member);
+        self.tell(Event::EndpointList { version: list.index, kind, entries });
+    }
+}
+
+impl Callee for MemberHandle {
     /// The time between two calls; none where no calls come.
-    pub fn time_to_next_call(&self) -> Option<Duration> {
+    fn time_to_next_call(&self) -> Option<Duration> {
         let mut member = self.borrow();
         let fleet = &member.fleet;
         let rate = fleet.load.calls_per_second * fleet.rate_multiples[member.identity.place];
@@ -181,7 +198,7 @@
     }
 
     /// A call arrives, of any class with the same chance.
-    pub fn call(&self) {
+    fn call(&self) {
         let mut member = self.borrow();
         member.fleet.counters.call();
         if member.calls.unanswered() >= member.settings.limits.max_open {
@@ -192,9 +209,11 @@
         drop(member);
         self.tell(Event::Request(request));
     }
+}
 
+impl AttemptOwner for MemberHandle {
     /// An attempt has ended. The first one served is its call's answer.
-    pub fn attempt_ended(&self, request: &RequestId, attempt: AttemptNumber, ending: Ending) {
+    fn attempt_ended(&self, request: &RequestId, attempt: AttemptNumber, ending: Ending) {
         let mut member = self.borrow();
         let served = ending.outcome == Outcome::Served;
         let Some(ended) = member.calls.end_attempt(request, attempt, served) else { return };
@@ -215,31 +234,13 @@
     }
 
     /// A probe has ended. It says nothing of a process that has been started since.
-    pub fn probe_ended(&self, probe: &Probe, took: Duration, ending: Ending) {
+    fn probe_ended(&self, probe: &Probe, took: Duration, ending: Ending) {
         if self.borrow().started_at(&probe.endpoint) != Some(probe.started_at) {
             return;
         }
         let (endpoint, Ending { outcome, report }) = (probe.endpoint.clone(), ending);
         self.tell(Event::ProbeEnded { endpoint, outcome, took, report });
     }
-
-    // ---- Endpoints ---------------------------------------------------------------------------------------
-
-    fn learn(&self, list: EndpointList, kind: ListKind) {
-        let mut member = self.borrow();
-        let entries = member.membership.update(&list, kind).entries.into();
-        let Identity { place, start } = member.identity;
-        let milestones = &member.fleet.milestones[place];
-        milestones.has_version(start, list.index);
-        let is_ready = member.membership.serving().next().is_some();
-        milestones.is_ready(start, is_ready);
-        if is_ready && !member.has_callers {
-            member.has_callers = true;
-            spawn_local(calls::arrivals(self.clone()));
-        }
-        drop(member);
-        self.tell(Event::EndpointList { version: list.index, kind, entries });
-    }
 }
 
 impl ListConsumer for MemberHandle {
--- a/lab/src/sidecar/hollow/milestones.rs
+++ b/lab/src/sidecar/hollow/milestones.rs
@@ -1,6 +1,6 @@
 //! When each sidecar of a fleet had a version of the list, was ready, and had an open watch.
 
-use super::Arrivals;
+use super::arrivals::Arrivals;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
--- a/lab/src/sidecar/hollow/thread.rs
+++ b/lab/src/sidecar/hollow/thread.rs
@@ -1,6 +1,6 @@
 //! Threads that host hollow sidecars, each sidecar on a set of local tasks of its own, which end with it.
 
-use super::FleetState;
+use super::fleet_state::FleetState;
 use super::member::{Identity, MemberHandle};
 use super::plan::MemberPlan;
 use super::task::Task;
--- /dev/null
+++ b/lab/src/sidecar/hollow/usage.rs
@@ -0,0 +1,35 @@
+//! What a hollow fleet has done.
+
+use serde::Serialize;
+
+/// Counts of a hollow fleet since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct HollowUsage {
+    /// Calls that callers made.
+    pub calls: u64,
+    /// Attempts that the modules started.
+    pub attempts: u64,
+    /// Calls that were served.
+    pub served: u64,
+    /// Calls that were refused or failed.
+    pub not_served: u64,
+    /// Probes that the modules started.
+    pub probes: u64,
+    /// Calls of discovery that failed, and watches that were lost.
+    pub discovery_failures: u64,
+    /// The most attempts that one endpoint got within one second.
+    pub most_attempts_at_an_endpoint: u64,
+}
+
+/// What a hollow fleet did within one second.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct HollowSecond {
+    /// Calls that callers made.
+    pub calls: u64,
+    /// Attempts that the modules started.
+    pub attempts: u64,
+    /// Calls that were served.
+    pub served: u64,
+    /// Calls that were refused or failed.
+    pub not_served: u64,
+}
--- a/tests/source_layout.rs
+++ b/tests/source_layout.rs
@@ -131,9 +131,9 @@
     }
 }
 
-fn sources() -> [PathBuf; 1] {
+fn sources() -> [PathBuf; 2] {
     let root = PathBuf::from(env!("CARGO_MANIFEST_DIR"));
-    [root.join("src")]
+    [root.join("src"), root.join("lab/src")]
 }
 
 #[test]
