--- a/lab/src/command/mod.rs
+++ b/lab/src/command/mod.rs
@@ -1,11 +1,13 @@
-//! The commands `scale`, `run` and `check`.
+//! The commands `scale`, `run`, `check` and `tier`.
 
 mod check;
 mod run;
+mod tier;
 
 use clap::{Args, Parser, Subcommand};
 use pipittray_lab::experiment::ExperimentError;
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -43,6 +45,8 @@
         #[command(flatten)]
         options: RunOptions,
     },
+    /// Starts endpoints and discovery on loopback, and writes the configuration of a sidecar to try on them.
+    Tier(TierOptions),
     /// Tells what is wrong with these files.
     Check {
         /// Experiment files.
@@ -51,6 +55,26 @@
     },
 }
 
+/// What a stand-in tier is told.
+#[derive(Args)]
+struct TierOptions {
+    /// Where the sidecar's configuration goes.
+    #[arg(long, value_name = "FILE", default_value = "target/lab/sidecar.json")]
+    configuration: PathBuf,
+    /// Where the sidecar is to listen for callers.
+    #[arg(long, value_name = "ADDRESS", default_value = "127.0.0.1:7070")]
+    listen: SocketAddr,
+    /// Where the sidecar is to listen for operators.
+    #[arg(long, value_name = "ADDRESS", default_value = "127.0.0.1:7071")]
+    admin: SocketAddr,
+    /// Endpoints of the tier.
+    #[arg(long, value_name = "COUNT", default_value_t = 3, value_parser = clap::value_parser!(u32).range(1..=100))]
+    endpoints: u32,
+    /// How long it runs.
+    #[arg(long, value_name = "MINUTES", default_value_t = 10, value_parser = clap::value_parser!(u64).range(1..=60))]
+    minutes: u64,
+}
+
 /// What all runs are told.
 #[derive(Args)]
 struct RunOptions {
@@ -86,6 +110,12 @@
     /// The report could not be written.
     #[error("{}: {source}", folder.display())]
     Write { folder: PathBuf, source: io::Error },
+    /// The stand-in tier could not be started.
+    #[error("the tier could not be started: {0}")]
+    Tier(io::Error),
+    /// The sidecar's configuration could not be written.
+    #[error("{}: {source}", file.display())]
+    WriteConfiguration { file: PathBuf, source: io::Error },
     /// Experiments did not come to their end; why was logged and stands in the report.
     #[error("{failed} of {run} experiments failed")]
     Failed { failed: usize, run: usize },
@@ -100,7 +130,10 @@
             | CommandError::NoExperiments(_)
             | CommandError::UnknownName(_)
             | CommandError::Program { .. } => BAD_INPUT.into(),
-            CommandError::Write { .. } | CommandError::Failed { .. } => RUN_FAILED.into(),
+            CommandError::Write { .. }
+            | CommandError::WriteConfiguration { .. }
+            | CommandError::Tier(_)
+            | CommandError::Failed { .. } => RUN_FAILED.into(),
         }
     }
 }
@@ -111,6 +144,7 @@
         match &self.command {
             Command::Scale { experiments, only, options } => run::scale(experiments, only, options),
             Command::Run { files, options } => run::files(files, options),
+            Command::Tier(options) => tier::run(options),
             Command::Check { files } => check::check(files),
         }
     }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod report;
 pub mod scenario;
 pub mod sidecar;
+pub mod tier;
 pub mod topology;
--- a/lab/src/sidecar/configuration.rs
+++ b/lab/src/sidecar/configuration.rs
@@ -3,11 +3,11 @@
 use crate::discovery::EndpointEntry;
 use crate::topology::ZoneName;
 use serde_json::{Value, json};
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 /// Loopback, with a port of the system's choice.
-const ANY_LOOPBACK_PORT: &str = "127.0.0.1:0";
+const ANY_LOOPBACK_PORT: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 /// An idle connection to an endpoint is closed after this time.
 const IDLE_CLOSE: Duration = Duration::from_secs(60);
 /// A connection to an endpoint that is not up after this time has failed.
@@ -112,12 +112,17 @@
         })
     }
 
-    /// The whole document. It listens on a loopback port of the system's choice, and so does the operators' address.
+    /// The whole document, of a sidecar that listens on loopback ports of the system's choice.
     pub fn document(&self) -> Value {
+        self.document_at(ANY_LOOPBACK_PORT, ANY_LOOPBACK_PORT)
+    }
+
+    /// The whole document, of a sidecar that listens at these addresses.
+    pub fn document_at(&self, callers: SocketAddr, operators: SocketAddr) -> Value {
         let mut document = json!({
             "name": self.name,
-            "listen": ANY_LOOPBACK_PORT,
-            "admin_addr": ANY_LOOPBACK_PORT,
+            "listen": callers.to_string(),
+            "admin_addr": operators.to_string(),
             "discovery": self.discovery.to_string(),
             "seed": format!("{:016x}", self.seed),
             "limits": {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.descriptors},
--- a/lab/src/sidecar/hollow/member.rs
+++ b/lab/src/sidecar/hollow/member.rs
@@ -169,7 +169,6 @@
         }
     }
 
-
     fn learn(&self, list: EndpointList, kind: ListKind) {
         let mut member = self.borrow();
         let entries = member.membership.update(&list, kind).entries.into();
