Give requests, attempts and watches of the node one state each, and say docs in plain words

Change: OpenRequest and its attempts, and Watches, are enums whose transitions stand in node/open_request.rs and node/watches.rs. The forwarding of a request is in steps that fit a screen. Doc comments say configuration, settings, removed and the like in place of the earlier house words. No behaviour changes.

--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
-/// The longest list taken, or word of changes, in bytes. The largest fleets need a fiftieth of it.
+/// The longest list or change of it that is taken, in bytes. The largest fleets need a fiftieth of it.
 const LONGEST_LIST: usize = 4 << 20;
 /// The path of the whole list.
 const LIST_PATH: &str = "/v1/endpoints";
--- a/src/discovery/error.rs
+++ b/src/discovery/error.rs
@@ -3,7 +3,7 @@
 use hyper::StatusCode;
 use std::io;
 
-/// A list that is older than what its source told before.
+/// A list that is older than its source's last one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("it tells what is older than what it told before")]
 pub struct OlderList;
@@ -35,7 +35,7 @@
     /// A list is longer than any fleet needs.
     #[error("a list is too long")]
     TooLong,
-    /// A list is older than what was told before.
+    /// A list is older than the one before.
     #[error(transparent)]
     OlderList(#[from] OlderList),
 }
--- a/src/discovery/membership.rs
+++ b/src/discovery/membership.rs
@@ -1,4 +1,4 @@
-//! The endpoints that discovery has told of, and the version of its list.
+//! The endpoints that discovery lists, and the version of its list.
 
 use super::error::OlderList;
 use super::list::{EndpointList, Entry};
@@ -73,12 +73,12 @@
         serving.map(|(endpoint, _)| endpoint)
     }
 
-    /// Takes a list's version, unless it is older than what was told before. A discovery that was set back tells its whole
+    /// Takes a list's version, unless it is older than the one before. A discovery that was set back sends its whole
     /// list again when it is asked again, which is believed. In the first list after a move, or after discovery was set
-    /// back, what was told to drain goes on draining.
+    /// back, what drains goes on draining.
     ///
     /// # Errors
-    /// The list is older than what was told before.
+    /// The list is older than the one before.
     pub fn accept(&mut self, list: &mut EndpointList) -> Result<(), OlderList> {
         let is_older = self.version.is_some_and(|version| list.index < version);
         if is_older && !(list.snapshot && self.has_told_older) {
@@ -92,7 +92,7 @@
         Ok(())
     }
 
-    /// What was told to drain does so for as long as its process lives.
+    /// What drains does so for as long as its process lives.
     fn keep_draining(&self, entry: &mut Entry) {
         let listed = entry.endpoint_entry();
         let known = self.members.get(&listed.endpoint);
@@ -129,7 +129,7 @@
         ListUpdate { entries, outdated }
     }
 
-    /// Removes endpoints at whose address another has started since: word of their end comes later, or got lost, and what
+    /// Removes endpoints at whose address another has started since: the change that removes them comes later, or got lost, and what
     /// is sent there meanwhile goes to the other, which is cold.
     pub fn remove_replaced(&mut self, update: &mut ListUpdate) {
         let mut latest_starts: HashMap<SocketAddr, Option<Timestamp>> = HashMap::new();
--- a/src/policy/membership.rs
+++ b/src/policy/membership.rs
@@ -48,7 +48,7 @@
         }
     }
 
-    /// Takes an endpoint out by the operators' word, which holds whatever lists say until they enable it.
+    /// Takes an endpoint out for the operators, which holds whatever lists say until they enable it.
     /// What is in flight there goes on; held requests and retries find other places.
     pub(super) fn disable(&mut self, now: Timestamp, endpoint: EndpointId, actions: &mut Vec<Action>) {
         if let Some(e) = self.endpoint_index.get(&endpoint) {
--- a/src/policy/settings.rs
+++ b/src/policy/settings.rs
@@ -1,4 +1,4 @@
-//! What an instance is told at its start, and again when its settings change.
+//! The settings of an instance, which may change while it runs.
 
 use super::id::{PeerId, ZoneId};
 use std::time::Duration;
@@ -148,7 +148,7 @@
 pub struct Rules {
     /// A final answer is in time until this long after the client's deadline.
     pub answer_slack: Duration,
-    /// Sends to a draining or gone endpoint must end this long after hearing of it.
+    /// Sends to a draining or removed endpoint must end this long after hearing of it.
     pub drain_grace: Duration,
     /// Where discovery is asked: silence beyond this counts as having been told.
     pub ask_within: Duration,
@@ -237,7 +237,7 @@
     Work,
 }
 
-/// All that an instance is told at its start.
+/// All settings of an instance.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// Instances in this tier.
--- a/src/sidecar/config.rs
+++ b/src/sidecar/config.rs
@@ -1,4 +1,4 @@
-//! What this sidecar is told at its start, and again on SIGHUP: the file that `ROUTER_CONFIG` names.
+//! The configuration, read at the start and again on SIGHUP: the file that `ROUTER_CONFIG` names.
 
 use crate::discovery::EndpointList;
 use crate::policy::{Settings, SettingsError};
@@ -76,7 +76,7 @@
     pub memory_mb: usize,
     /// The endpoints as this sidecar last had them; perhaps old.
     pub known: Option<EndpointList>,
-    /// What the decision module is told.
+    /// The settings of the decision module.
     pub settings: Settings,
     /// What holds for as long as the process runs.
     pub fixed: FixedValues,
--- a/src/sidecar/endpoint/load_report.rs
+++ b/src/sidecar/endpoint/load_report.rs
@@ -11,7 +11,7 @@
 
 /// Reads `TEXT inflight=7, queue=2, util=0.61`, with the names that the settings give the fields or those of the
 /// protocol's example. A figure that cannot be is left out. A report is none where it has no figure, or none of those
-/// that it speaks of the queue with: it would be taken for word of an empty one.
+/// that it speaks of the queue with: it would be taken for an empty queue.
 pub fn parse_load_report(text: &str) -> Option<LoadReport> {
     let mut report = LoadReport::default();
     for pair in text.trim().strip_prefix("TEXT")?.split(',') {
--- a/src/sidecar/handover.rs
+++ b/src/sidecar/handover.rs
@@ -242,7 +242,7 @@
         }
     }
 
-    /// Another process is gone, and all that it held. What it was told last it may have kept, but not passed on: what is
+    /// Another process has ended, and holds nothing any more. The last change it may have kept, but not passed on: what is
     /// kept is what holds.
     fn process_ended(&self, number: ProcessNumber) {
         let mut node = self.borrow();
--- a/src/sidecar/node/actions.rs
+++ b/src/sidecar/node/actions.rs
@@ -5,7 +5,6 @@
 use crate::discovery;
 use crate::policy::{Action, DiscoveryMode, EndpointId, Event, Timestamp};
 use crate::sidecar::endpoint;
-use crate::sidecar::task::Task;
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
 
@@ -24,14 +23,14 @@
             Action::SetTimer { at, token } => self.set_timer(handle, at, token),
             // An agent that pushes is followed unasked.
             Action::Subscribe(_) if self.settings.current().discovery == DiscoveryMode::Pushed => {}
-            Action::Subscribe(false) => self.watch = None,
+            Action::Subscribe(false) => self.watches.end(),
             Action::Subscribe(true) => {
                 // A reload may have asked already; a second watch would cost discovery a call for nothing.
-                if self.watch.as_ref().is_none_or(Task::is_over) {
+                if !self.watches.is_followed() {
                     self.begin_watch(handle);
                 }
             }
-            Action::FetchList => drop(spawn_local(discovery::fetch(handle.clone(), self.discovery))),
+            Action::FetchList => drop(spawn_local(discovery::fetch(handle.clone(), self.watches.source()))),
             Action::CloseIdleConnections { endpoint } => self.pool.close_idle(&endpoint),
             Action::Probe { endpoint } => self.probe(handle, &endpoint),
             // The module sends none.
--- a/src/sidecar/node/attempts.rs
+++ b/src/sidecar/node/attempts.rs
@@ -1,6 +1,6 @@
 //! Attempts from their sends to their ends.
 
-use super::open_request::{OpenAttempt, OpenRequest};
+use super::open_request::OpenRequest;
 use super::state::{Node, NodeHandle};
 use crate::policy::{
     AttemptEnd, AttemptNumber, EndpointId, Event, LoadReport, Outcome, Readiness, RequestId, Timestamp,
@@ -36,16 +36,14 @@
         let now = self.clock.now();
         let target = self.target(&endpoint);
         let Some(open) = self.open.get_mut(&request) else { return };
-        let attempt = open.attempts.len();
-        let task = target.filter(|_| open.is_unanswered()).map(|target| {
+        let attempt = open.next_attempt();
+        if let Some(target) = target.filter(|_| open.is_unanswered()) {
             let until = timeout.map_or(open.deadline, |timeout| open.deadline.min(now + timeout));
             let forwarded = open.forwarded.clone();
             let order = AttemptOrder { request: request.clone(), attempt, target, until, forwarded };
-            Task::spawn(endpoint::attempt(handle.clone(), order))
-        });
-        let has_started = task.is_some();
-        open.attempts.push(OpenAttempt { sent: now, task });
-        if !has_started {
+            open.begin_attempt(now, Task::spawn(endpoint::attempt(handle.clone(), order)));
+        } else {
+            open.skip_attempt();
             let event = self.attempt_end(&request, attempt, now, Outcome::NotSent, None);
             self.events.push_back(event);
         }
@@ -54,9 +52,7 @@
     /// Stops an attempt's task, which closes its connection.
     pub(super) fn cancel(&mut self, request: &RequestId, attempt: AttemptNumber) {
         let Some(open) = self.open.get_mut(request) else { return };
-        let Some(cancelled) = open.attempts.get_mut(attempt) else { return };
-        if cancelled.task.take().is_some() {
-            let sent = cancelled.sent;
+        if let Some(sent) = open.end_attempt(attempt) {
             let event = self.attempt_end(request, attempt, sent, Outcome::Cancelled, None);
             self.events.push_back(event);
             self.forget_if_over(request);
--- a/src/sidecar/node/discovery.rs
+++ b/src/sidecar/node/discovery.rs
@@ -32,8 +32,8 @@
 
     /// Begins to follow discovery.
     pub(super) fn begin_watch(&mut self, handle: &NodeHandle) {
-        let (consumer, source) = (handle.clone(), self.discovery);
-        self.watch = Some(match self.settings.current().discovery {
+        let (consumer, source) = (handle.clone(), self.watches.source());
+        self.watches.follow(match self.settings.current().discovery {
             DiscoveryMode::Pushed => Task::spawn(discovery::follow_agent(consumer, source)),
             DiscoveryMode::OnRequest => {
                 Task::spawn(discovery::watch(consumer, source, self.membership.version()))
@@ -45,15 +45,15 @@
 impl ListConsumer for NodeHandle {
     fn held_version(&self, source: Source) -> Option<u64> {
         let node = self.borrow();
-        node.membership.version().filter(|_| source == node.discovery)
+        node.membership.version().filter(|_| source == node.watches.source())
     }
 
     fn list_received(&self, source: Source, mut list: EndpointList) -> Result<(), OlderList> {
         let mut node = self.borrow();
-        if source == node.discovery {
+        if source == node.watches.source() {
             node.membership.accept(&mut list)?;
             node.first_list_due = None;
-            node.watch_before = None;
+            node.watches.has_spoken();
         } else if node.membership.version().is_some() {
             return Ok(()); // the present one has spoken
         }
@@ -63,7 +63,7 @@
         Ok(())
     }
 
-    /// That is no less than word that nothing has changed, which may not come before the first change.
+    /// That says no less than that nothing has changed, which discovery may not say before the first change.
     fn watch_opened(&self, source: Source) {
         let version = self.held_version(source);
         if let Some(version) = version {
@@ -76,8 +76,8 @@
     /// That of a discovery that is no longer asked was to be.
     fn discovery_failed(&self, source: Source) {
         let mut node = self.borrow();
-        if source == node.discovery {
-            node.watch = None;
+        if source == node.watches.source() {
+            node.watches.end();
             drop(node);
             self.handle(Event::DiscoveryFailed);
         }
--- a/src/sidecar/node/endpoint_host.rs
+++ b/src/sidecar/node/endpoint_host.rs
@@ -57,9 +57,11 @@
     fn may_write(&self, order: &AttemptOrder) -> bool {
         let node = self.borrow();
         let Some(open) = node.open.get(&order.request) else { return false };
-        let is_in_flight = open.attempts.get(order.attempt).is_some_and(|attempt| attempt.task.is_some());
         let is_in_time = node.clock.now() < order.until;
-        open.is_unanswered() && is_in_flight && node.takes_work(&order.target) && is_in_time
+        open.is_unanswered()
+            && open.is_in_flight(order.attempt)
+            && node.takes_work(&order.target)
+            && is_in_time
     }
 
     /// The first attempt served is the request's answer.
@@ -67,14 +69,13 @@
         let mut guard = self.borrow();
         let node = &mut *guard;
         let Some(open) = node.open.get_mut(&order.request) else { return };
-        let Some(attempt) = open.attempts.get_mut(order.attempt) else { return };
-        if attempt.task.take().is_none() {
+        let Some(sent) = open.end_attempt(order.attempt) else {
             return; // cancelled, and the module knows
-        }
+        };
         // It ran from when the endpoint had all of it.
         let whole_at = order.forwarded.upload.as_ref().and_then(|upload| upload.whole_at());
         let whole_at = whole_at.map(|instant| node.clock.timestamp(instant));
-        let sent = whole_at.map_or(attempt.sent, |at| at.max(attempt.sent));
+        let sent = whole_at.map_or(sent, |at| at.max(sent));
         open.has_timed_out = result.outcome == Outcome::TimedOut;
         if let Some(answer) = result.answer {
             node.answer(&order.request, FinalAnswer::Served(answer));
--- a/src/sidecar/node/mod.rs
+++ b/src/sidecar/node/mod.rs
@@ -13,6 +13,7 @@
 mod requests;
 mod settings_in_force;
 mod state;
+mod watches;
 
 pub use open_request::{FinalAnswer, NotTaken};
 pub use settings_in_force::SettingsInForce;
--- a/src/sidecar/node/open_request.rs
+++ b/src/sidecar/node/open_request.rs
@@ -1,6 +1,6 @@
 //! Requests that are unanswered or have attempts in flight.
 
-use crate::policy::Timestamp;
+use crate::policy::{AttemptNumber, Timestamp};
 use crate::sidecar::endpoint::{ForwardedRequest, ServedAnswer};
 use crate::sidecar::task::Task;
 use std::rc::Rc;
@@ -31,22 +31,33 @@
     TooMany,
 }
 
-/// An open request. Whoever takes its reply sender answers it.
+/// An open request: unanswered, answered with attempts in flight, or over.
 pub struct OpenRequest {
     pub forwarded: Rc<ForwardedRequest>,
     pub deadline: Timestamp,
-    /// None once the request has its final answer, or its client has left.
-    pub reply: Option<oneshot::Sender<FinalAnswer>>,
-    pub attempts: Vec<OpenAttempt>,
+    reply: Reply,
+    attempts: Vec<OpenAttempt>,
     /// How the last attempt ended.
     pub has_timed_out: bool,
 }
 
+/// Whether a request still wants an answer.
+enum Reply {
+    /// Whoever takes the sender answers it.
+    Awaited(oneshot::Sender<FinalAnswer>),
+    /// It has its final answer, or its client has left.
+    Given,
+}
+
 /// An attempt of an open request.
-pub struct OpenAttempt {
-    pub sent: Timestamp,
-    /// None once the attempt has ended.
-    pub task: Option<Task>,
+enum OpenAttempt {
+    InFlight {
+        sent: Timestamp,
+        /// Ends the attempt when it is dropped.
+        _task: Task,
+    },
+    /// It has ended, or never began.
+    Ended,
 }
 
 impl OpenRequest {
@@ -59,7 +70,7 @@
         OpenRequest {
             forwarded: Rc::new(forwarded),
             deadline,
-            reply: Some(reply),
+            reply: Reply::Awaited(reply),
             attempts: Vec::new(),
             has_timed_out: false,
         }
@@ -67,11 +78,49 @@
 
     /// Whether it still wants an answer.
     pub fn is_unanswered(&self) -> bool {
-        self.reply.is_some()
+        matches!(self.reply, Reply::Awaited(_))
+    }
+
+    /// Takes its one reply, for its one answer.
+    pub fn take_reply(&mut self) -> Option<oneshot::Sender<FinalAnswer>> {
+        match std::mem::replace(&mut self.reply, Reply::Given) {
+            Reply::Awaited(reply) => Some(reply),
+            Reply::Given => None,
+        }
+    }
+
+    /// The number of its next attempt.
+    pub fn next_attempt(&self) -> AttemptNumber {
+        self.attempts.len()
+    }
+
+    /// Its next attempt begins.
+    pub fn begin_attempt(&mut self, sent: Timestamp, task: Task) {
+        self.attempts.push(OpenAttempt::InFlight { sent, _task: task });
+    }
+
+    /// Its next attempt ends before it has begun.
+    pub fn skip_attempt(&mut self) {
+        self.attempts.push(OpenAttempt::Ended);
+    }
+
+    /// Whether an attempt is in flight.
+    pub fn is_in_flight(&self, attempt: AttemptNumber) -> bool {
+        matches!(self.attempts.get(attempt), Some(OpenAttempt::InFlight { .. }))
+    }
+
+    /// Ends an attempt, with its task; returns when it was sent, or `None` where it was not in flight.
+    pub fn end_attempt(&mut self, attempt: AttemptNumber) -> Option<Timestamp> {
+        let attempt = self.attempts.get_mut(attempt)?;
+        match std::mem::replace(attempt, OpenAttempt::Ended) {
+            OpenAttempt::InFlight { sent, .. } => Some(sent),
+            OpenAttempt::Ended => None,
+        }
     }
 
     /// Whether the module keeps it no longer: it is answered and none of its attempts is in flight.
     pub fn is_over(&self) -> bool {
-        self.reply.is_none() && self.attempts.iter().all(|attempt| attempt.task.is_none())
+        let is_in_flight = |attempt: &OpenAttempt| matches!(attempt, OpenAttempt::InFlight { .. });
+        !self.is_unanswered() && !self.attempts.iter().any(is_in_flight)
     }
 }
--- a/src/sidecar/node/operators.rs
+++ b/src/sidecar/node/operators.rs
@@ -47,7 +47,7 @@
         }
     }
 
-    /// Has the sidecar emptied of callers. Told twice, it is as told once.
+    /// Has the sidecar emptied of callers. Calling it twice is as calling it once.
     pub fn drain(&self) {
         if self.borrow().callers.drain_state().is_some() {
             return;
--- a/src/sidecar/node/reload.rs
+++ b/src/sidecar/node/reload.rs
@@ -2,14 +2,13 @@
 
 use super::settings_in_force::SettingsInForce;
 use super::state::NodeHandle;
-use crate::discovery::Source;
 use crate::policy::{Event, SettingsError};
 use crate::sidecar::config::Config;
 
 /// Why a configuration is not taken over.
 #[derive(Debug, thiserror::Error)]
 pub enum ReloadError {
-    /// A key has gone, which a broken file looks like.
+    /// A key is missing that was there, as in a file that was cut off.
     #[error("{0} is missing, which was there before")]
     MissingKey(String),
     /// The settings make no sense.
@@ -40,17 +39,11 @@
 
     fn move_discovery(&self, config: &Config) -> bool {
         let mut node = self.borrow();
-        if config.discovery == node.discovery.address {
+        if config.discovery == node.watches.source().address {
             return false;
         }
-        let generation = node.discovery.generation + 1;
-        node.discovery = Source { address: config.discovery, generation };
-        // One that had not spoken yet gives way; who was listened to before it still is.
-        let has_spoken = node.membership.forget_version();
-        let watch = node.watch.take();
-        if has_spoken {
-            node.watch_before = watch;
-        }
+        let had_spoken = node.membership.forget_version();
+        node.watches.move_to(config.discovery, had_spoken);
         node.begin_watch(self);
         true
     }
--- a/src/sidecar/node/requests.rs
+++ b/src/sidecar/node/requests.rs
@@ -64,7 +64,7 @@
 
     /// Takes a request's one reply.
     fn close(&mut self, request: &RequestId) -> Option<oneshot::Sender<FinalAnswer>> {
-        let reply = self.open.get_mut(request)?.reply.take()?;
+        let reply = self.open.get_mut(request)?.take_reply()?;
         self.unanswered -= 1;
         Some(reply)
     }
--- a/src/sidecar/node/state.rs
+++ b/src/sidecar/node/state.rs
@@ -2,7 +2,8 @@
 
 use super::open_request::OpenRequest;
 use super::settings_in_force::SettingsHistory;
-use crate::discovery::{Membership, Source};
+use super::watches::Watches;
+use crate::discovery::Membership;
 use crate::policy::{
     Action, Balancer, BalancerStatus, DiscoveryMode, EndpointId, Event, ListKind, RequestId, SettingsError,
     Timestamp,
@@ -23,7 +24,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// A process that replaces another may wait so long for discovery's first word before it is ready.
+/// A process that replaces another may wait so long for the first list of discovery before it is ready.
 const FIRST_LIST_WITHIN: Duration = Duration::from_secs(3);
 /// Parts of the memory, of which one is for callers' bodies and one for endpoints' answers.
 const REQUEST_MEMORY_PARTS: usize = 4;
@@ -58,11 +59,8 @@
     pub(super) membership: Membership,
     pub(super) open: HashMap<RequestId, OpenRequest>,
     pub(super) unanswered: u64,
-    pub(super) discovery: Source,
-    pub(super) watch: Option<Task>,
-    /// The watch on the discovery before, which is followed until the present one has spoken.
-    pub(super) watch_before: Option<Task>,
-    /// Once it has been told to stop: when nothing may be unanswered any more.
+    pub(super) watches: Watches,
+    /// Once it stops: when nothing may be unanswered any more.
     pub last_answer: Option<Timestamp>,
     /// Until then callers are not asked for before discovery has spoken: another process serves them meanwhile.
     pub(super) first_list_due: Option<Timestamp>,
@@ -82,7 +80,7 @@
 
 /// How a process starts.
 pub struct Start {
-    /// What it is told.
+    /// Its configuration.
     pub config: Config,
     /// What it shares with the processes before and after it.
     pub directory: Option<Rc<SharedDirectory>>,
@@ -172,9 +170,7 @@
             membership: Membership::default(),
             open: HashMap::new(),
             unanswered: 0,
-            discovery: Source { address: config.discovery, generation: 0 },
-            watch: None,
-            watch_before: None,
+            watches: Watches::new(config.discovery),
             last_answer: None,
             first_list_due: None,
             other_processes: OtherProcesses::default(),
@@ -185,7 +181,7 @@
         })
     }
 
-    /// The sidecar has been told to stop: what it takes from now on is answered within this time.
+    /// The sidecar stops: what it takes from now on is answered within this time.
     pub fn stop_within(&mut self, time: Duration) {
         self.last_answer = Some(self.clock.now() + time);
     }
@@ -210,7 +206,7 @@
         self.balancer.disabled_endpoints()
     }
 
-    /// Whether callers may be sent here: an endpoint is known that takes work, and nobody has told it to stop.
+    /// Whether callers may be sent here: an endpoint is known that takes work, and the sidecar does not stop.
     pub fn is_ready(&self) -> bool {
         let waits_for_list = self.first_list_due.is_some_and(|due| self.clock.now() < due);
         self.membership.serving().any(|endpoint| !self.is_disabled(endpoint))
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -20,14 +20,14 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::time::{Instant, timeout, timeout_at};
 
-/// New connections go on coming for up to 0.4 s after the word to stop.
+/// New connections go on coming for up to 0.4 s after SIGTERM.
 const STILL_COMING: Duration = Duration::from_millis(600);
 /// A sidecar may be killed 0.7 s after the longest deadline, of which no more than this counts.
 const LONGEST_COUNTED: Duration = Duration::from_secs(3);
 /// Part of that in which callers keep their connections: another sidecar may be down just then, and they have nowhere else
 /// to go.
 const KEPT_PART: f64 = 0.7;
-/// The sidecar is gone this long after the longest deadline, as it may be killed 0.7 s after it.
+/// The sidecar has ended this long after the longest deadline, as it may be killed 0.7 s after it.
 const LAST_MOMENT: Duration = Duration::from_millis(400);
 
 /// Why the sidecar ended with a failure.
--- a/src/sidecar/server/forward.rs
+++ b/src/sidecar/server/forward.rs
@@ -4,10 +4,11 @@
 use super::reply::{Reply, ReplyBody, plain, reply};
 use super::request::parse_request;
 use super::request_error::RequestError;
-use crate::policy::{Idempotency, Request as PolicyRequest, RequestId, Timestamp};
+use crate::policy::{Class, Idempotency, Request as PolicyRequest, RequestId, Timestamp};
 use crate::sidecar::body::{MAX_KEPT, ReceivedBody, Upload, receive_body};
 use crate::sidecar::endpoint::{ForwardedRequest, end_to_end};
 use crate::sidecar::figures::RequestCount;
+use crate::sidecar::memory::MemoryReservation;
 use crate::sidecar::node::{FinalAnswer, NodeHandle, NotTaken, SettingsInForce};
 use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
@@ -16,7 +17,8 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::oneshot::{self, error::TryRecvError};
+use tokio::sync::oneshot;
+use tokio::sync::oneshot::error::{RecvError, TryRecvError};
 use tokio::time::{Instant, timeout_at};
 
 /// Forwards a request and answers it, and counts it for its class.
@@ -62,54 +64,65 @@
 ) -> Result<Reply, RequestError> {
     let node = &caller.node;
     let (head, body) = request.into_parts();
-    let parsed = parse(node, &head, begun).map_err(|error| error.with_body_unread(!body.is_end_stream()))?;
-    let ParsedRequest { mut request, settings, class, time_left } = parsed;
-    let class = &settings.settings.classes[class];
-    let count = count.insert(node.borrow().figures.begin(&class.name));
-    // As much as it declares, or as much as may be kept.
-    let most = body.size_hint().exact().map_or(MAX_KEPT, |length| length.min(MAX_KEPT as u64) as usize);
-    let Some(memory) = node.borrow().request_memory.reserve(most) else {
+    let mut parsed =
+        parse(node, &head, begun).map_err(|error| error.with_body_unread(!body.is_end_stream()))?;
+    let count = count.insert(node.borrow().figures.begin(&parsed.class().name));
+    let Some(memory) = reserve_memory(node, &body) else {
         caller.traffic.is_last_request.set(true);
         return Ok(caller.turn_away());
     };
     let is_chunked = caller.traffic.is_last_request.get();
-    let ReceivedBody { kept, upload } = receive_body(body, begun).await?;
-    if upload.is_none() {
+    let received = receive_body(body, begun).await?;
+    if received.upload.is_none() {
         count.set_whole();
     }
-    request.deadline = deadline(node, time_left);
-    let wait = Wait {
-        until: node.borrow().clock.instant(request.deadline) + settings.settings.rules.answer_slack,
-        after_upload: time_left + settings.settings.rules.answer_slack,
-        is_chunked,
-    };
-    let forwarded = ForwardedRequest {
-        method: head.method,
-        path: head.uri.into_parts().path_and_query.unwrap_or(PathAndQuery::from_static("/api")),
-        headers: end_to_end(&head.headers),
-        body: kept,
-        upload: upload.clone(),
-        is_repeatable: class.idempotency != Idempotency::Unsafe,
-        _memory: memory,
-    };
-    let id = request.id.clone();
-    let answer = match node.take(request, forwarded) {
-        Ok(answer) => answer,
+    parsed.request.deadline = deadline(node, parsed.time_left);
+    let wait = parsed.wait(node, is_chunked);
+    let upload = received.upload.clone();
+    let forwarded = parsed.forwarded(head, received, memory);
+    let mut pending = match PendingAnswer::begin(node, parsed.request, forwarded) {
+        Ok(pending) => pending,
         Err(NotTaken::TooMany) => return Ok(caller.turn_away()),
         Err(NotTaken::Repeated) => return Err(repeated_id()),
     };
-    let mut pending = PendingAnswer { node, id, answer };
     let answer = match upload {
         None => timeout_at(wait.until, &mut pending.answer).await.ok(),
         Some(upload) => wait.with_upload(caller, &upload, &mut pending.answer, count).await?,
     };
-    Ok(match answer {
-        Some(Ok(answer)) => reply(answer),
-        Some(Err(_)) | None => {
-            node.overdue(&pending.id);
-            plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+    Ok(pending.reply(answer))
+}
+
+/// Room for as much of a body as it declares, or as may be kept.
+fn reserve_memory(node: &NodeHandle, body: &Incoming) -> Option<MemoryReservation> {
+    let length = body.size_hint().exact();
+    let most = length.map_or(MAX_KEPT, |length| length.min(MAX_KEPT as u64) as usize);
+    node.borrow().request_memory.reserve(most)
+}
+
+impl ParsedRequest {
+    fn class(&self) -> &Class {
+        &self.settings.settings.classes[self.class]
+    }
+
+    /// How long its answer is waited for.
+    fn wait(&self, node: &NodeHandle, is_chunked: bool) -> Wait {
+        let slack = self.settings.settings.rules.answer_slack;
+        let until = node.borrow().clock.instant(self.request.deadline) + slack;
+        Wait { until, after_upload: self.time_left + slack, is_chunked }
+    }
+
+    /// What of it goes on to endpoints.
+    fn forwarded(&self, head: Parts, body: ReceivedBody, memory: MemoryReservation) -> ForwardedRequest {
+        ForwardedRequest {
+            method: head.method,
+            path: head.uri.into_parts().path_and_query.unwrap_or(PathAndQuery::from_static("/api")),
+            headers: end_to_end(&head.headers),
+            body: body.kept,
+            upload: body.upload,
+            is_repeatable: self.class().idempotency != Idempotency::Unsafe,
+            _memory: memory,
         }
-    })
+    }
 }
 
 /// Reads a head. Sent before a reload, it may be a request of the settings before alone.
@@ -156,7 +169,7 @@
         upload: &Upload,
         answer: &mut oneshot::Receiver<FinalAnswer>,
         count: &mut RequestCount,
-    ) -> Result<Option<Result<FinalAnswer, oneshot::error::RecvError>>, RequestError> {
+    ) -> Result<Option<Result<FinalAnswer, RecvError>>, RequestError> {
         // Answered before it has come whole, the connection ends with the answer.
         caller.traffic.is_last_request.set(true);
         let answer = pin!(upload.within(self.after_upload, answer));
@@ -186,6 +199,28 @@
     answer: oneshot::Receiver<FinalAnswer>,
 }
 
+impl<'a> PendingAnswer<'a> {
+    /// Hands a request to the node.
+    fn begin(
+        node: &'a NodeHandle,
+        request: PolicyRequest,
+        forwarded: ForwardedRequest,
+    ) -> Result<Self, NotTaken> {
+        let id = request.id.clone();
+        let answer = node.take(request, forwarded)?;
+        Ok(PendingAnswer { node, id, answer })
+    }
+
+    /// The reply that an answer makes, or that there was none in time.
+    fn reply(&self, answer: Option<Result<FinalAnswer, RecvError>>) -> Reply {
+        if let Some(Ok(answer)) = answer {
+            return reply(answer);
+        }
+        self.node.overdue(&self.id);
+        plain(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+    }
+}
+
 impl Drop for PendingAnswer<'_> {
     fn drop(&mut self) {
         if self.answer.try_recv().is_err_and(|error| error == TryRecvError::Empty) {
--- a/src/sidecar/upgrade/message.rs
+++ b/src/sidecar/upgrade/message.rs
@@ -10,7 +10,7 @@
     Holds(usize),
     /// The newer process accepts callers from now on.
     Serving,
-    /// This one has been told to stop, and accepts nobody before long.
+    /// This one stops, and accepts nobody before long.
     Stopping,
     /// The operators have disabled an endpoint, or enabled it.
     Disabled {
--- a/src/sidecar/upgrade/other_processes.rs
+++ b/src/sidecar/upgrade/other_processes.rs
@@ -45,7 +45,7 @@
         (number, messages)
     }
 
-    /// Another process is gone, and all that it held.
+    /// Another process has ended, and holds nothing any more.
     pub fn remove(&mut self, number: ProcessNumber) {
         self.processes.remove(&number);
     }
--- a/src/simulator/message.rs
+++ b/src/simulator/message.rs
@@ -32,7 +32,7 @@
         instance: InstanceNumber,
         /// For its random numbers.
         seed: u64,
-        /// What it is told.
+        /// Its configuration.
         settings: Box<Settings>,
     },
     /// An instance is killed.
--- a/tests/source_layout.rs
+++ b/tests/source_layout.rs
@@ -166,3 +166,28 @@
         }
     }
 }
+
+/// Guards against files that no module declares, which the compiler never sees.
+#[test]
+fn every_source_file_is_declared() {
+    for source in sources() {
+        let files = CrateFiles::below(&source);
+        for (module, path) in &files.0 {
+            let Some((name, parent)) = module.split_last() else { continue };
+            let parent_file =
+                files.0.get(parent).unwrap_or_else(|| panic!("{} has no parent", path.display()));
+            let mut text = fs::read_to_string(parent_file).expect("a source file");
+            if parent.is_empty() {
+                text += &fs::read_to_string(source.join("main.rs")).expect("the program");
+            }
+            let siblings = files.0.iter().filter(|(other, _)| other.len() == module.len());
+            let declares = |text: &str| {
+                text.contains(&format!("mod {name};")) || text.contains(&format!("#[path = \"{name}.rs\"]"))
+            };
+            let by_sibling = siblings
+                .filter(|(other, _)| other.starts_with(parent))
+                .any(|(_, file)| declares(&fs::read_to_string(file).expect("a source file")));
+            assert!(declares(&text) || by_sibling, "{} is declared nowhere", path.display());
+        }
+    }
+}
