Add the commands check, explain, diff, status, drain, disable and others, and a schema

Cause: staff had to start a sidecar to find out what is wrong with a file, one fault a start; what a reload would do was to be seen only after it; the second address was to be called with nc.

Change: pipittray without arguments serves as before. Beside it: check (all faults at once: path in the document, what was found, what is allowed; unknown keys are warned of), explain, diff, status, drain, undrain, disable, enable, completions, man, schema. One typed configuration (src/configuration) with units in its docs, defaults in one place, a JSON Schema made from it (docs/configuration.schema.json, compared in the tests), and the same reading at the start, at SIGHUP and in check. clap, clap_complete, clap_mangen, schemars, jsonschema, serde_path_to_error and serde_ignored do the work. A file that can be used is read as before; the schema is asked only where reading failed.

--- a/lab/src/sidecar/hollow/plan.rs
+++ b/lab/src/sidecar/hollow/plan.rs
@@ -2,9 +2,9 @@
 
 use crate::discovery::{EndpointEntry, EndpointStatus};
 use crate::sidecar::configuration::SidecarConfiguration;
+use pipittray::configuration::settings_document::parse_settings;
 use pipittray::discovery::{EndpointList, Entry, Status};
 use pipittray::policy::Settings;
-use pipittray::settings_document::parse_settings;
 use serde_json::Value;
 use std::io;
 use std::net::SocketAddr;
--- a/lab/tests/sidecar_process.rs
+++ b/lab/tests/sidecar_process.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
+use pipittray::configuration::settings_document::parse_settings;
 use pipittray::policy::{DiscoveryMode, Idempotency, Reporting};
-use pipittray::settings_document::parse_settings;
 use pipittray_lab::discovery::{EndpointEntry, EndpointStatus};
 use pipittray_lab::sidecar::configuration::{RequestClass, SidecarConfiguration};
 use pipittray_lab::sidecar::process::SidecarProcess;
@@ -169,5 +169,5 @@
     without_classes.classes.clear();
     let started = SidecarProcess::start(common::sidecar_program(), &without_classes);
     let failure = started.err().expect("settings without a class are turned down");
-    assert!(failure.to_string().contains("classes"), "{failure}");
+    assert!(failure.to_string().contains("settings.categories: is empty"), "{failure}");
 }
--- a/src/sidecar/config.rs
+++ b/src/configuration/config.rs
@@ -1,23 +1,23 @@
 //! The configuration, read at the start and again on SIGHUP: the file that `ROUTER_CONFIG` names.
 
+use super::fault::Faults;
+use super::parse::{Parsed, parse};
 use crate::discovery::EndpointList;
-use crate::policy::{Settings, SettingsError};
-use crate::settings_document::{SettingsDocumentError, parse_settings};
-use serde::{Deserialize, Deserializer, Serialize, de::Error as _};
-use serde_json::value::{RawValue, Value};
+use crate::policy::Settings;
+use serde_json::{Value, json};
 use std::ffi::OsString;
 use std::io;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
 /// Names the configuration's file.
-const FILE_VARIABLE: &str = "ROUTER_CONFIG";
+pub const FILE_VARIABLE: &str = "ROUTER_CONFIG";
 /// Names the operators' address, before the file does.
-const ADMIN_VARIABLE: &str = "ROUTER_ADMIN_ADDR";
+pub const ADMIN_VARIABLE: &str = "ROUTER_ADMIN_ADDR";
 /// Settings that may be absent, where others may not once they have been there.
 const MAY_BE_ABSENT: [&str; 5] = ["aimStretch", "passesDeadline", "warmKeys", "drainCloseNs", "orderPauseNs"];
 
-/// What is wrong with a configuration; it fits on one line.
+/// Why a configuration cannot be had; it fits on one line.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
     /// No file is named.
@@ -32,32 +32,18 @@
         failure: io::Error,
     },
     /// What the file holds cannot be used.
-    #[error("{path}: {error}", path = path.display())]
-    Document {
+    #[error("{path}: {faults}", path = path.display())]
+    Faults {
         /// Its path.
         path: PathBuf,
-        /// What is wrong with it.
-        error: DocumentError,
+        /// All that is wrong with it.
+        faults: Faults,
     },
     /// The operators' address in the environment is none.
     #[error("{ADMIN_VARIABLE} is no address: {text}", text = .0.display())]
     AdminAddress(OsString),
 }
 
-/// What is wrong with a configuration's text.
-#[derive(Debug, thiserror::Error)]
-pub enum DocumentError {
-    /// It is no JSON, or a value is missing or of the wrong kind.
-    #[error(transparent)]
-    Json(#[from] serde_json::Error),
-    /// Its settings cannot be read.
-    #[error("settings: {0}")]
-    SettingsDocument(#[from] SettingsDocumentError),
-    /// Its settings make no sense.
-    #[error("settings: {0}")]
-    Settings(#[from] SettingsError),
-}
-
 /// The configuration, with its settings in the decision module's form.
 pub struct Config {
     /// The sidecar's name.
@@ -82,6 +68,8 @@
     pub fixed: FixedValues,
     /// Settings and limits as the file has them.
     pub document: Value,
+    /// All that the file has.
+    pub value: Value,
 }
 
 /// What a reload cannot take over, by name: the sockets and the budgets were made with it. The seed is none of it: it is
@@ -96,33 +84,6 @@
     }
 }
 
-#[derive(Deserialize)]
-struct Document {
-    name: String,
-    listen: SocketAddr,
-    discovery: SocketAddr,
-    admin_addr: Option<SocketAddr>,
-    #[serde(deserialize_with = "hexadecimal")]
-    seed: u64,
-    limits: Limits,
-    known: Option<EndpointList>,
-    settings: Box<RawValue>,
-}
-
-#[derive(Deserialize, Serialize)]
-struct Limits {
-    sockets: usize,
-    memory_mb: usize,
-    /// Read for its absence to be seen.
-    #[serde(skip_serializing_if = "Option::is_none")]
-    cores: Option<f64>,
-}
-
-fn hexadecimal<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
-    let text = String::deserialize(deserializer)?;
-    u64::from_str_radix(&text, 16).map_err(|e| D::Error::custom(format!("seed {text}: {e}")))
-}
-
 impl Config {
     /// Reads the file that `ROUTER_CONFIG` names.
     ///
@@ -130,18 +91,25 @@
     /// What is wrong with it.
     pub fn from_environment() -> Result<Self, ConfigError> {
         let path = std::env::var_os(FILE_VARIABLE).map(PathBuf::from).ok_or(ConfigError::NoFile)?;
-        let text = match std::fs::read_to_string(&path) {
-            Ok(text) => text,
-            Err(failure) => return Err(ConfigError::Read { path, failure }),
-        };
-        let mut config =
-            Self::parse(&text).map_err(|error| ConfigError::Document { path: path.clone(), error })?;
+        let mut config = Self::from_file(&path)?;
         config.admin = Self::admin_from_environment()?.or(config.admin);
         Ok(config)
     }
 
+    /// Reads a file.
+    ///
+    /// # Errors
+    /// What is wrong with it.
+    pub fn from_file(path: &Path) -> Result<Self, ConfigError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|failure| ConfigError::Read { path: path.to_owned(), failure })?;
+        Self::parse(&text).map_err(|faults| ConfigError::Faults { path: path.to_owned(), faults })
+    }
+
     /// The environment is this process's own, where a file may serve two of them during an upgrade: it goes first.
-    fn admin_from_environment() -> Result<Option<SocketAddr>, ConfigError> {
+    /// # Errors
+    /// What the environment has is no address.
+    pub fn admin_from_environment() -> Result<Option<SocketAddr>, ConfigError> {
         let Some(text) = std::env::var_os(ADMIN_VARIABLE).filter(|text| !text.is_empty()) else {
             return Ok(None);
         };
@@ -154,29 +122,28 @@
     /// Reads a configuration's text.
     ///
     /// # Errors
-    /// What is wrong with it.
-    pub fn parse(text: &str) -> Result<Self, DocumentError> {
-        let document: Document = serde_json::from_str(text)?;
-        let settings = parse_settings(document.settings.get())?;
-        settings.check()?;
-        let settings_value: Value = serde_json::from_str(document.settings.get())?;
+    /// All that is wrong with it.
+    pub fn parse(text: &str) -> Result<Self, Faults> {
+        let Parsed { document, value, settings } = parse(text)?;
+        let limits = serde_json::to_value(&document.limits).unwrap_or_default();
         let fixed = FixedValues([
             ("name", document.name.as_str().into()),
             ("listen", document.listen.to_string().into()),
-            ("admin_addr", document.admin_addr.map(|a| a.to_string()).into()),
-            ("limits", serde_json::to_value(&document.limits)?),
+            ("admin_addr", document.admin_addr.map(|address| address.to_string()).into()),
+            ("limits", limits.clone()),
         ]);
         Ok(Config {
             name: document.name,
             listen: document.listen,
             discovery: document.discovery,
             admin: document.admin_addr,
-            seed: document.seed,
+            seed: document.seed.0,
             sockets: document.limits.sockets,
             memory_mb: document.limits.memory_mb,
             known: document.known,
             settings,
-            document: serde_json::json!({"settings": settings_value, "limits": document.limits}),
+            document: json!({"settings": value["settings"], "limits": limits}),
+            value,
             fixed,
         })
     }
--- a/src/discovery/list.rs
+++ b/src/discovery/list.rs
@@ -1,11 +1,12 @@
 //! Discovery's messages.
 
 use crate::policy::{EndpointEntry, GroupId, Readiness, Timestamp};
-use serde::Deserialize;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// One message of discovery: the whole list, or what has changed.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
 pub struct EndpointList {
     /// Its version.
     pub index: u64,
@@ -16,11 +17,12 @@
 }
 
 /// An endpoint in discovery's form.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
 pub struct Entry {
     /// Its name, identical at every sidecar.
     pub name: String,
     /// Where it listens.
+    #[schemars(with = "String")]
     pub address: SocketAddr,
     /// Its zone.
     pub zone: String,
@@ -38,7 +40,7 @@
 }
 
 /// Whether an endpoint takes work, as discovery lists it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize, Serialize, JsonSchema)]
 #[serde(rename_all = "UPPERCASE")]
 pub enum Status {
     /// It does.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,8 @@
 //! | --- | --- |
 //! | [`policy`] | every decision, sans I/O: one [`policy::Balancer`] per caller takes events and returns actions |
 //! | [`discovery`] | the client of discovery, for hosts with real sockets |
-//! | [`settings_document`] | the settings as JSON |
+//! | [`configuration`] | the configuration's document, its checks and its schema |
+//! | [`command_line`] | the program's commands |
 //! | [`simulator`] | the simulator's wire, and the adapter that speaks it |
 //! | [`sidecar`] | the sidecar: sockets, HTTP, connection pools, time |
 //!
@@ -49,8 +50,9 @@
 #![warn(missing_docs)]
 
 mod backoff;
+pub mod command_line;
+pub mod configuration;
 pub mod discovery;
 pub mod policy;
-pub mod settings_document;
 pub mod sidecar;
 pub mod simulator;
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,5 +3,5 @@
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
-    pipittray::sidecar::main()
+    pipittray::command_line::main()
 }
--- a/src/policy/settings_check.rs
+++ b/src/policy/settings_check.rs
@@ -37,33 +37,40 @@
     /// Whether an instance can work with these.
     ///
     /// # Errors
-    /// Names the first setting that makes no sense: no instance or class, two classes of one name, an attempt
-    /// limit of zero, a share, price, worth or fraction outside its range or not a number, a time of more
-    /// than a year, or none where one is needed.
+    /// Names the first setting that makes no sense: no instance or class, two classes of one name, an attempt limit
+    /// of zero, a share, price, worth or fraction outside its range or not a number, a time of more than a year, or
+    /// none where one is needed.
     pub fn check(&self) -> Result<(), SettingsError> {
+        self.faults().into_iter().next().map_or(Ok(()), Err)
+    }
+
+    /// All settings that make no sense, as [`Settings::check`] has it.
+    pub fn faults(&self) -> Vec<SettingsError> {
+        let mut faults = Vec::new();
         if self.balancers == 0 {
-            return refuse("balancers", "is zero");
+            faults.push(fault("balancers", "is zero"));
         }
         if self.classes.is_empty() {
-            return refuse("classes", "is empty");
+            faults.push(fault("classes", "is empty"));
         }
         if let Some(position) = repeated_name(&self.classes) {
-            return refuse(&format!("classes[{position}].name"), "is there twice");
+            faults.push(fault(&format!("classes[{position}].name"), "is there twice"));
         }
         if self.limits.max_attempts == 0 {
-            return refuse("limits.max_attempts", "is zero");
+            faults.push(fault("limits.max_attempts", "is zero"));
         }
         let mut inventory = Inventory::default();
         inventory.add_limits_and_rules(self);
         inventory.add_prices(self);
         inventory.add_classes(self);
         inventory.add_tenants(self);
-        inventory.check()
+        inventory.add_faults(&mut faults);
+        faults
     }
 }
 
-fn refuse(path: &str, problem: &'static str) -> Result<(), SettingsError> {
-    Err(SettingsError { field: path.into(), problem })
+fn fault(path: &str, problem: &'static str) -> SettingsError {
+    SettingsError { field: path.into(), problem }
 }
 
 /// The position of the first class whose name an earlier one has.
@@ -142,27 +149,26 @@
         }
     }
 
-    fn check(&self) -> Result<(), SettingsError> {
+    fn add_faults(&self, faults: &mut Vec<SettingsError>) {
         for Setting { path, value } in self.times.iter().chain(&self.positive_times) {
             if *value > LONGEST_TIME {
-                return refuse(path, "is more than a year");
+                faults.push(fault(path, "is more than a year"));
             }
         }
         for Setting { path, value } in &self.positive_times {
             if value.is_zero() {
-                return refuse(path, "is zero");
+                faults.push(fault(path, "is zero"));
             }
         }
         for Setting { path, value } in &self.fractions {
             if !(0.0..=1.0).contains(value) {
-                return refuse(path, "is not from 0 to 1");
+                faults.push(fault(path, "is not from 0 to 1"));
             }
         }
         for Setting { path, value } in &self.amounts {
             if !(0.0..=LARGEST_AMOUNT).contains(value) {
-                return refuse(path, "is not from 0 to a thousand million");
+                faults.push(fault(path, "is not from 0 to a thousand million"));
             }
         }
-        Ok(())
     }
 }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -4,7 +4,7 @@
 //!
 //! | layer | files |
 //! | --- | --- |
-//! | foundations | `log.rs`, `clock.rs`, `task.rs`, `sockets.rs`, `descriptors.rs`, `memory.rs`, `figures.rs`, `counters.rs`, `config.rs` |
+//! | foundations | `log.rs`, `clock.rs`, `task.rs`, `sockets.rs`, `descriptors.rs`, `memory.rs`, `figures.rs`, `counters.rs` |
 //! | bodies | `body/` |
 //! | connections | `endpoint/`: to endpoints; `caller/`: of callers; `upgrade/`: to other processes |
 //! | requests and attempts | `node/`: the one owner of their state, and the only place that calls the decision module |
@@ -17,7 +17,6 @@
 mod body;
 mod caller;
 mod clock;
-mod config;
 mod counters;
 mod descriptors;
 mod endpoint;
--- a/src/sidecar/node/first_list_tests.rs
+++ b/src/sidecar/node/first_list_tests.rs
@@ -1,8 +1,8 @@
 //! Tests on the runtime's paused clock of when a process that replaces another is ready.
 
 use super::state::{NodeHandle, Start};
+use crate::configuration::Config;
 use crate::discovery::ListConsumer;
-use crate::sidecar::config::Config;
 use std::time::Duration;
 use tokio::task::LocalSet;
 use tokio::time::advance;
--- a/src/sidecar/node/reload.rs
+++ b/src/sidecar/node/reload.rs
@@ -2,8 +2,8 @@
 
 use super::settings_in_force::SettingsInForce;
 use super::state::NodeHandle;
+use crate::configuration::Config;
 use crate::policy::{Event, SettingsError};
-use crate::sidecar::config::Config;
 
 /// Why a configuration is not taken over.
 #[derive(Debug, thiserror::Error)]
--- a/src/sidecar/node/state.rs
+++ b/src/sidecar/node/state.rs
@@ -3,6 +3,7 @@
 use super::open_request::OpenRequest;
 use super::settings_in_force::SettingsHistory;
 use super::watches::Watches;
+use crate::configuration::{Config, FixedValues};
 use crate::discovery::Membership;
 use crate::policy::{
     Action, Balancer, BalancerStatus, DiscoveryMode, EndpointId, Event, ListKind, RequestId, SettingsError,
@@ -10,7 +11,6 @@
 };
 use crate::sidecar::caller::CallerTable;
 use crate::sidecar::clock::Clock;
-use crate::sidecar::config::{Config, FixedValues};
 use crate::sidecar::counters::Counters;
 use crate::sidecar::descriptors::Descriptors;
 use crate::sidecar::endpoint::ConnectionPool;
--- a/src/sidecar/process.rs
+++ b/src/sidecar/process.rs
@@ -1,6 +1,5 @@
 //! The process: its start, its signals and its end.
 
-use super::config::{Config, ConfigError};
 use super::handover;
 use super::node::{NodeHandle, Start};
 use super::operators;
@@ -8,6 +7,7 @@
 use super::server;
 use super::task::Task;
 use super::upgrade::{ProcessMessage, SharedDirectory};
+use crate::configuration::{Config, ConfigError};
 use crate::policy::SettingsError;
 use std::io;
 use std::net::SocketAddr;
--- a/src/sidecar/server/forward_tests.rs
+++ b/src/sidecar/server/forward_tests.rs
@@ -1,7 +1,7 @@
 //! Tests that no order of bytes on sockets brings about for sure.
 
 use super::*;
-use crate::sidecar::config::Config;
+use crate::configuration::Config;
 use crate::sidecar::node::Start;
 use bytes::Bytes;
 use hyper::Method;
--- a/src/simulator/error.rs
+++ b/src/simulator/error.rs
@@ -1,8 +1,8 @@
 //! What can be wrong with a message of the wire.
 
 use super::instance::InstanceNumber;
+use crate::configuration::settings_document::SettingsDocumentError;
 use crate::policy::SettingsError;
-use crate::settings_document::SettingsDocumentError;
 
 /// What is wrong with a message.
 #[derive(Debug, thiserror::Error)]
--- a/src/simulator/message.rs
+++ b/src/simulator/message.rs
@@ -3,8 +3,8 @@
 use super::error::WireError;
 use super::fields::Fields;
 use super::instance::InstanceNumber;
+use crate::configuration::settings_document::parse_settings;
 use crate::policy::{EndpointEntry, GroupId, ListKind, Readiness, Settings, Timestamp};
-use crate::settings_document::parse_settings;
 
 /// Lists that a process can hold, numbered from 0.
 pub(super) const LIST_COUNT: usize = 16;
--- a/tests/simulator.rs
+++ b/tests/simulator.rs
@@ -242,7 +242,7 @@
 
 #[test]
 fn the_further_rules_and_kinds_come_through_and_are_absent_where_not_given() {
-    use pipittray::settings_document::parse_settings;
+    use pipittray::configuration::settings_document::parse_settings;
     use pipittray::simulator::{Message, parse_message};
     use std::time::Duration;
     let plain = parse_settings(&params(0)).expect("settings");
