--- a/lab/src/discovery/connection.rs
+++ b/lab/src/discovery/connection.rs
@@ -123,7 +123,7 @@
         let _open = CountGuard::new(&self.zone.watches);
         // No change comes between these steps: they wait for nothing.
         let mut changes = self.service.subscribe();
-        let mut told = self.service.registry.borrow().version();
+        let mut written_version = self.service.registry.borrow().version();
         let first = self.service.registry.borrow_mut().chunk_since(since);
         self.write(protocol::WATCH_HEAD).await?;
         if let Some(chunk) = first {
@@ -141,13 +141,13 @@
             match change {
                 None => self.write_heartbeat().await?,
                 // It came before the whole list that was written in place of others.
-                Some(Ok(Change { version, .. })) if version <= told => continue,
+                Some(Ok(Change { version, .. })) if version <= written_version => continue,
                 Some(Ok(Change { version, chunk })) => {
-                    told = version;
+                    written_version = version;
                     self.write(&chunk).await?;
                 }
                 Some(Err(RecvError::Lagged(_))) => {
-                    told = self.service.registry.borrow().version();
+                    written_version = self.service.registry.borrow().version();
                     let chunk = self.service.registry.borrow_mut().whole_list_chunk();
                     self.write(&chunk).await?;
                 }
--- a/lab/src/scenario/propagation.rs
+++ b/lab/src/scenario/propagation.rs
@@ -65,16 +65,16 @@
     series: &mut Series,
 ) {
     let size = fleet.size as f64;
-    let told = size * f64::from(changes);
+    let deliveries = size * f64::from(changes);
     let bytes = after.bytes_written - before.bytes_written;
     let heartbeat_bytes = after.heartbeat_bytes - before.heartbeat_bytes;
     let change_bytes = (bytes - heartbeat_bytes) as f64;
-    series.add("bytes of a change", "bytes a watch", size, change_bytes / told);
+    series.add("bytes of a change", "bytes a watch", size, change_bytes / deliveries);
     series.add(
         "processor time of discovery for a change",
         "us a watch",
         size,
-        processor_microseconds(before, after) / told,
+        processor_microseconds(before, after) / deliveries,
     );
 }
 
--- a/lab/src/sidecar/child.rs
+++ b/lab/src/sidecar/child.rs
@@ -42,8 +42,12 @@
     }
 
     /// Waits until the log has told both addresses.
-    pub fn wait_for_addresses(&self, told: &Receiver<Addresses>, longest: Duration) -> io::Result<Addresses> {
-        let problem = match told.recv_timeout(longest) {
+    pub fn wait_for_addresses(
+        &self,
+        addresses: &Receiver<Addresses>,
+        longest: Duration,
+    ) -> io::Result<Addresses> {
+        let problem = match addresses.recv_timeout(longest) {
             Ok(addresses) => return Ok(addresses),
             Err(RecvTimeoutError::Timeout) => "the sidecar did not tell in time where it listens",
             Err(RecvTimeoutError::Disconnected) => "the sidecar ended before it listened",
--- a/lab/src/sidecar/hollow/milestones.rs
+++ b/lab/src/sidecar/hollow/milestones.rs
@@ -65,7 +65,7 @@
     /// When it was first told this version or a later one.
     pub fn version_at(&self, version: u64) -> Option<Instant> {
         let state = self.lock();
-        state.versions.iter().find(|(told, _)| *told >= version).map(|(_, at)| *at)
+        state.versions.iter().find(|(known, _)| *known >= version).map(|(_, at)| *at)
     }
 
     pub fn ready_at(&self) -> Option<Instant> {
--- a/lab/src/sidecar/process.rs
+++ b/lab/src/sidecar/process.rs
@@ -50,9 +50,9 @@
         let folder = tempfile::Builder::new().prefix(FOLDER_PREFIX).tempdir()?;
         let configuration_file = folder.path().join(CONFIGURATION_FILE);
         write_configuration(&configuration_file, configuration)?;
-        let (sender, told) = mpsc::channel();
+        let (sender, addresses) = mpsc::channel();
         let child = LoggedChild::spawn(&mut command(program, &configuration_file, folder.path()), sender)?;
-        let addresses = child.wait_for_addresses(&told, LONGEST_START)?;
+        let addresses = child.wait_for_addresses(&addresses, LONGEST_START)?;
         Ok(SidecarProcess { child, addresses, configuration_file, _folder: folder })
     }
 
--- a/src/sidecar/handover.rs
+++ b/src/sidecar/handover.rs
@@ -195,14 +195,14 @@
     mut to: OwnedWriteHalf,
     mut messages: mpsc::Receiver<ProcessMessage>,
 ) {
-    let mut told = None;
+    let mut last_reported = None;
     loop {
         let message = match timeout(HEARTBEAT, messages.recv()).await {
             Ok(Some(message)) => message,
             Ok(None) => return,
             Err(_) => {
                 let held = node.borrow().descriptors.held().total();
-                if told.replace(held) == Some(held) {
+                if last_reported.replace(held) == Some(held) {
                     continue;
                 }
                 ProcessMessage::Holds(held)
