Read a command's file in one place, and judge a caller's head in one match

Cause: check and explain read their file, and complained of it, in the same lines each; the judgement of a head was matched twice, the second time with an arm that cannot be reached; the end of a drain was a method with one caller (found by reading the change once more). Change: src/command_line/file.rs; Judgement says itself whether it is of a whole head. No behaviour changes.

--- a/src/command_line/explain.rs
+++ b/src/command_line/explain.rs
@@ -1,22 +1,15 @@
 //! The command `explain`.
 
-use super::output::{Outcome, bad_input, complaint, line};
-use crate::configuration::{self, Config, parse};
-use std::fs;
+use super::file;
+use super::output::{Outcome, bad_input, line};
+use crate::configuration::{self, Config};
 use std::path::Path;
 
 /// Shows the configuration in effect.
-pub(super) fn explain(file: &Path) -> Outcome {
-    let text = match fs::read_to_string(file) {
-        Ok(text) => text,
-        Err(failure) => return bad_input(&format!("{}: {failure}", file.display())),
-    };
-    let parsed = match parse(&text) {
+pub(super) fn explain(path: &Path) -> Outcome {
+    let parsed = match file::read(path).and_then(|text| file::parse(&text)) {
         Ok(parsed) => parsed,
-        Err(faults) => {
-            faults.0.iter().for_each(|fault| complaint(fault));
-            return Outcome::BadInput;
-        }
+        Err(outcome) => return outcome,
     };
     let admin = match Config::admin_from_environment() {
         Ok(admin) => admin.map(|address| address.to_string()),
--- a/src/command_line/mod.rs
+++ b/src/command_line/mod.rs
@@ -3,6 +3,7 @@
 mod check;
 mod diff;
 mod explain;
+mod file;
 mod operator;
 mod output;
 
--- a/src/sidecar/caller/head.rs
+++ b/src/sidecar/caller/head.rs
@@ -31,6 +31,16 @@
     Fault(HeadFault),
 }
 
+impl Judgement {
+    /// Whether all of the head has come.
+    pub fn is_of_whole_head(&self) -> bool {
+        !matches!(
+            self,
+            Judgement::Incomplete { .. } | Judgement::NeverWhole | Judgement::Fault(HeadFault::TooLong)
+        )
+    }
+}
+
 /// What a head says of where it and its body end.
 struct Framing<'a> {
     head_length: usize,
--- a/src/sidecar/caller/inbound.rs
+++ b/src/sidecar/caller/inbound.rs
@@ -64,28 +64,22 @@
     /// Judges the head that the unread bytes begin with; returns what is read next, if it is whole.
     fn judge(&mut self, searched: usize) -> Option<ReadState> {
         let judgement = judge(&self.unread, searched);
-        let is_whole = match judgement {
+        if judgement.is_of_whole_head() {
+            self.traffic.has_asked.set(true);
+        }
+        match judgement {
             Judgement::Incomplete { searched } => {
                 self.state = ReadState::Head { searched };
-                return None;
+                None
             }
-            Judgement::NeverWhole | Judgement::Fault(HeadFault::TooLong) => false,
-            _ => true,
-        };
-        if is_whole {
-            self.traffic.has_asked.set(true);
-        }
-        Some(match judgement {
-            Judgement::Length(left) => ReadState::PassingOn { left },
+            Judgement::Length(left) => Some(ReadState::PassingOn { left }),
             Judgement::Chunked => {
                 self.traffic.is_last_request.set(true);
-                ReadState::PassingAll
-            }
-            Judgement::Malformed | Judgement::NeverWhole | Judgement::Incomplete { .. } => {
-                ReadState::PassingAll
+                Some(ReadState::PassingAll)
             }
-            Judgement::Fault(fault) => self.refuse(fault),
-        })
+            Judgement::Malformed | Judgement::NeverWhole => Some(ReadState::PassingAll),
+            Judgement::Fault(fault) => Some(self.refuse(fault)),
+        }
     }
 
     fn refuse(&self, fault: HeadFault) -> ReadState {
--- a/src/sidecar/node/operators.rs
+++ b/src/sidecar/node/operators.rs
@@ -1,6 +1,6 @@
 //! What the operators have the node do.
 
-use super::state::{Node, NodeHandle};
+use super::state::NodeHandle;
 use crate::policy::{EndpointId, Event};
 use crate::sidecar::caller::DrainState;
 use crate::sidecar::task::Task;
@@ -65,14 +65,8 @@
         if node.callers.drain_state().is_some() {
             log!("is back from its drain");
         }
-        node.end_drain();
-    }
-}
-
-impl Node {
-    fn end_drain(&mut self) {
-        self.drain_steps = None;
-        self.callers.set_drain_state(None);
+        node.drain_steps = None;
+        node.callers.set_drain_state(None);
     }
 }
 
