Log each call of discovery with its wait, and report how current the endpoint list is

What was missed: the record of the incident does not say when a sidecar called discovery, how long the call waited, how it ended, nor how old the list in force was. Change: log lines for each watch opened (its wait), each call failed or watch lost (its wait or duration, its lists) and each list applied (version, entries by status); metrics app_list_version, app_list_unconfirmed_ms, app_discovery_watches, app_discovery_failures; the first two also in the counters line. Behaviour of calls is unchanged.

--- a/fleet-lab/src/sidecar/simulated/sidecar/discovery.rs
+++ b/fleet-lab/src/sidecar/simulated/sidecar/discovery.rs
@@ -7,6 +7,7 @@
 use std::fmt;
 use std::sync::Arc;
 use tokio::task::spawn_local;
+use tokio::time::Instant;
 
 impl SidecarHandle {
     /// Applies a list, and starts the callers once an endpoint serves.
@@ -101,7 +102,7 @@
         tracing::debug!(index = self.borrow().incarnation.index, "{line}");
     }
 
-    fn watch_ended(&self, source: Source) {
+    fn watch_ended(&self, source: Source, _last_received_at: Option<Instant>) {
         let sidecar = self.borrow();
         sidecar.fleet.counters.count_discovery_failure();
         sidecar.fleet.milestones[sidecar.incarnation.index]
--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use std::convert::Infallible;
 use std::error::Error;
+use std::fmt;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 
@@ -26,9 +27,9 @@
     known_version: Option<u64>,
 ) {
     let mut backoff = Backoff::new(consumer.jitter_seed());
-    let WatchEnd { error, .. } = run_watch(&consumer, source, known_version, &mut backoff).await;
-    consumer.watch_ended(source);
-    consumer.log(format_args!("the watch on discovery ended: {error}"));
+    let end = run_watch(&consumer, source, known_version, &mut backoff).await;
+    consumer.watch_ended(source, end.last_received_at());
+    consumer.log(format_args!("the watch on discovery ended: {end}"));
     consumer.discovery_failed(source);
 }
 
@@ -39,19 +40,15 @@
 pub(super) async fn watch_agent<C: ListConsumer>(consumer: C, source: Source) {
     let mut backoff = Backoff::new(consumer.jitter_seed());
     loop {
-        let started_at = Instant::now();
         let known_version = consumer.known_version(source);
-        let WatchEnd { error, stage } =
-            run_watch(&consumer, source, known_version, &mut backoff).await;
-        consumer.watch_ended(source);
-        if !matches!(error, DiscoveryError::TimedOut(_)) {
-            consumer.log(format_args!(
-                "the watch on discovery's agent ended: {error}"
-            ));
+        let end = run_watch(&consumer, source, known_version, &mut backoff).await;
+        consumer.watch_ended(source, end.last_received_at());
+        if !matches!(end.error, DiscoveryError::TimedOut(_)) {
+            consumer.log(format_args!("the watch on discovery's agent ended: {end}"));
         }
-        let call_duration = match stage {
-            WatchStage::Opening => started_at.elapsed(),
-            WatchStage::Open => Duration::ZERO,
+        let call_duration = match end.stage {
+            WatchStage::Opening { took, .. } => took,
+            WatchStage::Open { .. } => Duration::ZERO,
         };
         sleep(backoff.delay_after(call_duration)).await;
     }
@@ -104,9 +101,50 @@
 /// How far a watch got.
 enum WatchStage {
     /// The request was not answered with a watch.
-    Opening,
+    Opening {
+        /// The version from which the watch was to resume, if one was known.
+        since: Option<u64>,
+        /// The time since the first call.
+        took: Duration,
+    },
     /// The watch was open.
-    Open,
+    Open {
+        /// For how long.
+        lasted: Duration,
+        /// The number of lists received on it.
+        lists: u64,
+        /// When something was last received on it.
+        last_received_at: Instant,
+    },
+}
+
+impl WatchEnd {
+    /// Returns when something was last received on the watch, if it was open.
+    fn last_received_at(&self) -> Option<Instant> {
+        match self.stage {
+            WatchStage::Opening { .. } => None,
+            WatchStage::Open {
+                last_received_at, ..
+            } => Some(last_received_at),
+        }
+    }
+}
+
+impl fmt::Display for WatchEnd {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.error)?;
+        match self.stage {
+            WatchStage::Opening { since, took } => {
+                let since = since.map_or("no version".into(), |since| format!("version {since}"));
+                let took = took.as_secs_f64();
+                write!(formatter, " (not opened after {took:.3} s, since {since})")
+            }
+            WatchStage::Open { lasted, lists, .. } => {
+                let lasted = lasted.as_secs_f64();
+                write!(formatter, " (open for {lasted:.3} s, {lists} lists)")
+            }
+        }
+    }
 }
 
 /// Opens a watch and receives its events until it fails.
@@ -116,21 +154,31 @@
     known_version: Option<u64>,
     backoff: &mut Backoff,
 ) -> WatchEnd {
+    let called_at = Instant::now();
     let body = match open_watch(consumer, source, known_version, backoff).await {
         Ok(body) => body,
         Err(error) => {
-            return WatchEnd {
-                error,
-                stage: WatchStage::Opening,
+            let stage = WatchStage::Opening {
+                since: known_version,
+                took: called_at.elapsed(),
             };
+            return WatchEnd { error, stage };
         }
     };
     backoff.reset();
-    let Err(error) = receive_events(consumer, source, body).await;
-    WatchEnd {
-        error,
-        stage: WatchStage::Open,
-    }
+    let opened_at = Instant::now();
+    consumer.log(format_args!(
+        "the watch on discovery is open after {:.3} s",
+        (opened_at - called_at).as_secs_f64()
+    ));
+    let mut events = WatchEvents::new(opened_at);
+    let Err(error) = events.receive(consumer, source, body).await;
+    let stage = WatchStage::Open {
+        lasted: opened_at.elapsed(),
+        lists: events.lists,
+        last_received_at: events.last_received_at,
+    };
+    WatchEnd { error, stage }
 }
 
 /// Opens a watch on the changes after `known_version`.
@@ -159,24 +207,50 @@
     Ok(body)
 }
 
-/// Receives the events of a watch until it fails, ends or is silent for [`DISCOVERY_TIMEOUT`].
-///
-/// Heartbeats count as silence while a list is incomplete, because its rest may never come.
-async fn receive_events<C: ListConsumer>(
-    consumer: &C,
-    source: Source,
-    mut body: Incoming,
-) -> Result<Infallible, DiscoveryError> {
-    let mut decoder = ListDecoder::default();
-    let mut silent_since = Instant::now();
-    while let Some(frame) = timeout_at(silent_since + DISCOVERY_TIMEOUT, body.frame()).await? {
-        let Ok(chunk) = frame?.into_data() else {
-            continue;
-        };
-        let progress = decoder.decode(&chunk, |list| consumer.list_received(source, list))?;
-        if progress == Progress::Alive {
-            silent_since = Instant::now();
+/// The events of an open watch.
+struct WatchEvents {
+    decoder: ListDecoder,
+    /// The number of lists received.
+    lists: u64,
+    /// When a list was completed or a heartbeat came; at first, when the watch was opened.
+    last_received_at: Instant,
+}
+
+impl WatchEvents {
+    fn new(opened_at: Instant) -> Self {
+        WatchEvents {
+            decoder: ListDecoder::default(),
+            lists: 0,
+            last_received_at: opened_at,
+        }
+    }
+
+    /// Receives the events of a watch until it fails, ends or is silent for [`DISCOVERY_TIMEOUT`].
+    ///
+    /// Heartbeats count as silence while a list is incomplete, because its rest may never come.
+    async fn receive<C: ListConsumer>(
+        &mut self,
+        consumer: &C,
+        source: Source,
+        mut body: Incoming,
+    ) -> Result<Infallible, DiscoveryError> {
+        loop {
+            let silence_deadline = self.last_received_at + DISCOVERY_TIMEOUT;
+            let Some(frame) = timeout_at(silence_deadline, body.frame()).await? else {
+                return Err(DiscoveryError::Closed);
+            };
+            let Ok(chunk) = frame?.into_data() else {
+                continue;
+            };
+            let lists = &mut self.lists;
+            let progress = self.decoder.decode(&chunk, |list| {
+                *lists += 1;
+                consumer.list_received(source, list)
+            })?;
+            if progress == Progress::Alive {
+                self.last_received_at = Instant::now();
+                consumer.list_confirmed(source);
+            }
         }
     }
-    Err(DiscoveryError::Closed)
 }
--- a/src/discovery/consumer.rs
+++ b/src/discovery/consumer.rs
@@ -4,6 +4,7 @@
 use super::list::EndpointList;
 use super::source::Source;
 use std::fmt;
+use tokio::time::Instant;
 
 /// Receives what the discovery client learns.
 ///
@@ -26,8 +27,12 @@
     /// for agents, which the client follows without the module.
     fn discovery_failed(&self, source: Source);
 
-    /// Notes that a watch was lost or could not be opened, on an agent too. Only for consumers that count failures.
-    fn watch_ended(&self, _source: Source) {}
+    /// Notes that the open watch has shown the list to be current: a list or a heartbeat was received on it.
+    fn list_confirmed(&self, _source: Source) {}
+
+    /// Notes that a watch was lost or could not be opened, on an agent too. `last_received_at` is when something was last
+    /// received on it, `None` if it could not be opened.
+    fn watch_ended(&self, _source: Source, _last_received_at: Option<Instant>) {}
 
     /// Notes that a fetch of the full list failed. Only for consumers that count failures.
     fn fetch_failed(&self, _source: Source) {}
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -6,6 +6,7 @@
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// The final answers of one class's requests.
 #[derive(Debug, Default)]
@@ -50,6 +51,26 @@
     pub unavailable: usize,
 }
 
+/// How current the endpoint list is.
+#[derive(Clone, Copy, Debug)]
+pub struct ListMetrics {
+    /// The version of the list; 0 without one from the current discovery.
+    pub version: u64,
+    /// For how long no watch has shown the list to be current; zero while one does.
+    pub unconfirmed_for: Duration,
+    /// Watches opened since the start.
+    pub watches_opened: u64,
+    /// Calls that failed and watches that were lost since the start.
+    pub discovery_failures: u64,
+}
+
+impl ListMetrics {
+    /// Returns [`ListMetrics::unconfirmed_for`] in whole milliseconds.
+    pub fn unconfirmed_ms(&self) -> u64 {
+        u64::try_from(self.unconfirmed_for.as_millis()).unwrap_or(u64::MAX)
+    }
+}
+
 /// A request that is counted once, at its end.
 #[derive(Debug)]
 pub struct RequestCount {
@@ -115,7 +136,7 @@
     }
 
     /// Writes the metrics, one a line.
-    pub fn write(&self, members: &MemberCounts, text: &mut String) {
+    pub fn write(&self, members: &MemberCounts, list: &ListMetrics, text: &mut String) {
         for (name, class) in &self.classes {
             let label = name
                 .replace('\\', "\\\\")
@@ -135,6 +156,10 @@
             ("pending", self.pending.get()),
             ("members", members.listed as u64),
             ("members_unavailable", members.unavailable as u64),
+            ("list_version", list.version),
+            ("list_unconfirmed_ms", list.unconfirmed_ms()),
+            ("discovery_watches", list.watches_opened),
+            ("discovery_failures", list.discovery_failures),
             ("config_reloads", self.reloads),
             ("config_reload_errors", self.reload_errors),
         ] {
--- a/src/sidecar/node/discovery.rs
+++ b/src/sidecar/node/discovery.rs
@@ -1,10 +1,13 @@
 //! The node as the consumer of endpoint lists.
 
 use super::state::{Node, NodeHandle};
-use crate::discovery::{EndpointList, ListConsumer, ListOrigin, Source, StaleListError};
+use crate::discovery::{
+    EndpointList, EntryStatus, ListConsumer, ListOrigin, Source, StaleListError,
+};
 use crate::policy::{DiscoveryMode, Event, ListKind};
 use std::fmt;
 use std::sync::Arc;
+use tokio::time::Instant;
 
 impl NodeHandle {
     /// Applies an accepted list: updates the endpoints, closes idle connections to processes that take no more work, and
@@ -12,6 +15,7 @@
     pub(super) fn apply_list(&self, list: &EndpointList, kind: ListKind) {
         let mut node = self.borrow();
         let update = node.endpoints.update(list, kind);
+        log_list(list, kind, node.endpoints.len());
         for endpoint in &update.stale_endpoints {
             node.connections.close_idle(endpoint);
         }
@@ -24,6 +28,27 @@
     }
 }
 
+/// Logs the version of a list and how many entries it has of each status.
+fn log_list(list: &EndpointList, kind: ListKind, listed: usize) {
+    let count = |status| {
+        let entries = list.endpoints.iter();
+        entries.filter(|entry| entry.status == status).count()
+    };
+    log!(
+        "endpoint list: version {version}, {kind}: {serving} serving, {draining} draining, {deleted} deleted; \
+         {listed} listed",
+        version = list.index,
+        kind = match kind {
+            ListKind::Full => "full",
+            ListKind::Cached => "cached",
+            ListKind::Changes => "changes",
+        },
+        serving = count(EntryStatus::Serving),
+        draining = count(EntryStatus::Draining),
+        deleted = count(EntryStatus::Deleted),
+    );
+}
+
 impl Node {
     /// Returns how lists are received.
     pub(super) fn discovery_mode(&self) -> DiscoveryMode {
@@ -58,6 +83,7 @@
             return;
         };
         let mut node = self.borrow();
+        node.endpoints.status_mut().watch_opened();
         let now = node.clock.now();
         node.endpoints.expect_first_list_soon(now);
         drop(node);
@@ -68,6 +94,29 @@
         });
     }
 
+    fn list_confirmed(&self, source: Source) {
+        let mut node = self.borrow();
+        if source != node.endpoints.source() {
+            return;
+        }
+        let now = node.clock.now();
+        if let Some(unconfirmed) = node.endpoints.status_mut().confirm(now) {
+            let seconds = unconfirmed.as_secs_f64();
+            log!("endpoint list: current again after {seconds:.3} s without a watch");
+        }
+    }
+
+    fn watch_ended(&self, source: Source, last_received_at: Option<Instant>) {
+        let mut node = self.borrow();
+        if source != node.endpoints.source() {
+            return;
+        }
+        let clock = node.clock;
+        let last_received_at = last_received_at.map(|at| clock.timestamp(at));
+        let status = node.endpoints.status_mut();
+        status.watch_ended(clock.now(), last_received_at);
+    }
+
     /// A failure of the previous source is ignored: it was to be expected after the move.
     fn discovery_failed(&self, source: Source) {
         let mut node = self.borrow();
--- a/src/sidecar/node/endpoints.rs
+++ b/src/sidecar/node/endpoints.rs
@@ -1,5 +1,6 @@
 //! The endpoints as discovery lists them, and the wait for the first list.
 
+use super::list_status::ListStatus;
 use crate::discovery::{
     EndpointList, ListConsumer, ListOrigin, ListUpdate, Source, SourceChange, StaleListError,
     Subscription,
@@ -20,17 +21,29 @@
     subscription: Subscription,
     /// Until then the node is not ready without a list from discovery: the old process serves callers meanwhile.
     first_list_deadline: Option<Timestamp>,
+    status: ListStatus,
 }
 
 impl Endpoints {
     /// Creates an empty list from a discovery service that is not followed yet.
-    pub fn new(discovery: SocketAddr) -> Self {
+    pub fn new(discovery: SocketAddr, now: Timestamp) -> Self {
         Endpoints {
             subscription: Subscription::new(discovery),
             first_list_deadline: None,
+            status: ListStatus::unconfirmed(now),
         }
     }
 
+    /// Returns how current the list is.
+    pub fn status(&self) -> &ListStatus {
+        &self.status
+    }
+
+    /// Returns how current the list is, for a change.
+    pub fn status_mut(&mut self) -> &mut ListStatus {
+        &mut self.status
+    }
+
     /// Returns the discovery service in force.
     pub fn source(&self) -> Source {
         self.subscription.source()
@@ -41,6 +54,11 @@
         self.subscription.known_version(source)
     }
 
+    /// Returns the version of the last list from the current source, if it has sent one.
+    pub fn list_version(&self) -> Option<u64> {
+        self.subscription.membership().version()
+    }
+
     /// Returns whether a watch on the current source is running.
     pub fn is_watching(&self) -> bool {
         self.subscription.is_watching()
--- /dev/null
+++ b/src/sidecar/node/list_status.rs
@@ -0,0 +1,59 @@
+//! How current the endpoint list is, and how often discovery failed.
+
+use crate::policy::Timestamp;
+use std::time::Duration;
+
+/// How current the endpoint list is, for the log and the operators' metrics.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct ListStatus {
+    /// Since when no watch has shown the list to be current; `None` while one does.
+    unconfirmed_since: Option<Timestamp>,
+    /// Watches opened since the start.
+    watches_opened: u64,
+    /// Calls that failed and watches that were lost since the start.
+    failures: u64,
+}
+
+impl ListStatus {
+    /// Creates the status of a list that nothing has confirmed yet.
+    pub fn unconfirmed(since: Timestamp) -> Self {
+        ListStatus {
+            unconfirmed_since: Some(since),
+            ..ListStatus::default()
+        }
+    }
+
+    /// Records that a watch was opened.
+    pub fn watch_opened(&mut self) {
+        self.watches_opened += 1;
+    }
+
+    /// Records that the list is current; returns for how long that was unknown, if it was.
+    pub fn confirm(&mut self, now: Timestamp) -> Option<Duration> {
+        let since = self.unconfirmed_since.take()?;
+        Some(now.since(since))
+    }
+
+    /// Records that a call failed, or that a watch was lost on which something was last received at `last_received_at`.
+    pub fn watch_ended(&mut self, now: Timestamp, last_received_at: Option<Timestamp>) {
+        self.failures += 1;
+        let since = last_received_at.unwrap_or(now);
+        self.unconfirmed_since.get_or_insert(since);
+    }
+
+    /// Returns for how long no watch has shown the list to be current; zero while one does.
+    pub fn unconfirmed_for(&self, now: Timestamp) -> Duration {
+        self.unconfirmed_since
+            .map_or(Duration::ZERO, |since| now.since(since))
+    }
+
+    /// Returns how many watches were opened since the start.
+    pub fn watches_opened(&self) -> u64 {
+        self.watches_opened
+    }
+
+    /// Returns how many calls failed and watches were lost since the start.
+    pub fn failures(&self) -> u64 {
+        self.failures
+    }
+}
--- a/src/sidecar/node/state.rs
+++ b/src/sidecar/node/state.rs
@@ -16,7 +16,7 @@
 use crate::sidecar::descriptors::{DescriptorBudget, OpenConnections};
 use crate::sidecar::hot_restart::SharedDirectory;
 use crate::sidecar::memory::MemoryBudget;
-use crate::sidecar::metrics::{MemberCounts, Metrics, RequestCount};
+use crate::sidecar::metrics::{ListMetrics, MemberCounts, Metrics, RequestCount};
 use std::cell::{RefCell, RefMut};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -81,6 +81,8 @@
     pub counters: CountersLine,
     /// The balancer's present state.
     pub status: BalancerStatus,
+    /// How current the endpoint list is.
+    pub list: ListMetrics,
     /// The connections open now.
     pub connections: OpenConnections,
 }
@@ -149,11 +151,12 @@
         let mut metrics = Metrics::default();
         metrics.add_classes(&config.settings.classes);
         let descriptors = DescriptorBudget::new(config.max_descriptors, reserved_descriptors);
+        let clock = Clock::start();
         Ok(Node {
-            clock: Clock::start(),
+            clock,
             balancer: Balancer::new(config.settings.clone(), config.seed)?,
             requests: OpenRequests::default(),
-            endpoints: Endpoints::new(config.discovery),
+            endpoints: Endpoints::new(config.discovery, clock.now()),
             connections: Connections::new(&config.settings.limits, descriptors),
             hot_restart: HotRestart::new(directory),
             request_memory: MemoryBudget::fraction_of(config.max_memory_mb, REQUEST_MEMORY_DIVISOR),
@@ -276,7 +279,7 @@
             listed: self.endpoints.len(),
             unavailable: self.balancer_status().unavailable,
         };
-        self.metrics.write(&members, text);
+        self.metrics.write(&members, &self.list_metrics(), text);
     }
 
     /// Returns the present state and the counters since the last report, which start over.
@@ -285,10 +288,21 @@
         NodeReport {
             counters: self.counters.take(answered),
             status: self.balancer_status(),
+            list: self.list_metrics(),
             connections: self.open_connections(),
         }
     }
 
+    fn list_metrics(&self) -> ListMetrics {
+        let status = self.endpoints.status();
+        ListMetrics {
+            version: self.endpoints.list_version().unwrap_or(0),
+            unconfirmed_for: status.unconfirmed_for(self.clock.now()),
+            watches_opened: status.watches_opened(),
+            discovery_failures: status.failures(),
+        }
+    }
+
     /// Returns the counters since the last report.
     #[cfg(test)]
     pub fn counters(&self) -> &Counters {
--- a/src/sidecar/report.rs
+++ b/src/sidecar/report.rs
@@ -21,6 +21,7 @@
     let NodeReport {
         counters,
         status,
+        list,
         connections,
     } = node.borrow().take_report();
     if counters.is_empty() {
@@ -39,8 +40,11 @@
     log!(
         "counts {counters}; now pending={pending} queued={queued} in_flight={in_flight} callers={callers} \
          connections={endpoints} clear={clear} gapping={gapping} discarding={discarding} \
-         current_states={current_states} unavailable={unavailable}",
+         current_states={current_states} unavailable={unavailable} list_version={version} \
+         list_unconfirmed_ms={unconfirmed}",
         callers = connections.callers,
         endpoints = connections.endpoints,
+        version = list.version,
+        unconfirmed = list.unconfirmed_ms(),
     );
 }
--- a/tests/sidecar/discovery_watch.rs
+++ b/tests/sidecar/discovery_watch.rs
@@ -214,3 +214,39 @@
     );
     std::fs::remove_file(path).expect("the file goes");
 }
+
+/// Guards the operators' view of the list: its version, how long it has been unconfirmed, and the calls that failed.
+#[test]
+fn metrics_tell_how_current_the_list_is() {
+    let endpoint = Endpoint::start(|_| respond_ok(""));
+    let discovery = ManualDiscovery::start();
+    let sidecar = start_sidecar(&discovery, &[&endpoint]);
+    let mut rejected = discovery.next_call();
+    rejected.write("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n");
+
+    let mut watch = discovery.next_call();
+    let before = ["list_version", "discovery_watches", "discovery_failures"];
+    assert_eq!(
+        before.map(|name| sidecar.metric(name)),
+        [41, 0, 1].map(Some)
+    );
+    assert_ne!(sidecar.metric("list_unconfirmed_ms"), Some(0));
+
+    watch.open_watch();
+    watch.write_line(&list(42, false, &[]));
+    wait_until("the list is current", || {
+        sidecar.metric("list_unconfirmed_ms") == Some(0)
+    });
+    assert_eq!(
+        before.map(|name| sidecar.metric(name)),
+        [42, 1, 1].map(Some)
+    );
+    sidecar.wait_for_log("endpoint list: current again after");
+    sidecar.wait_for_log("503 Service Unavailable (not opened after");
+
+    drop(watch);
+    wait_until("the list is not current", || {
+        sidecar.metric("list_unconfirmed_ms") != Some(0)
+    });
+    sidecar.wait_for_log("s, 1 lists)");
+}
