Let the lab's discovery charge for list entries and end its watches on a change

Cause: the lab's discovery took the same time for each call, so that a fleet with a long list could not crowd it. Change: entries_per_second and on_change in an experiment's discovery, and the measurement crowded-discovery, which restarts some of a fleet, publishes versions and takes the time that each needs at each sidecar.

--- a/fleet-lab/src/discovery/connection.rs
+++ b/fleet-lab/src/discovery/connection.rs
@@ -1,5 +1,6 @@
 //! One accepted connection, which serves requests one after another until one of them opens a watch.
 
+use super::options::WatchOnChange;
 use super::protocol::{self, Call, Request};
 use super::registry::Change;
 use super::service::{CountGuard, QueueOutcome, Service};
@@ -95,7 +96,8 @@
         if request.call == Call::NotFound {
             return self.write(protocol::NOT_FOUND).await;
         }
-        let outcome = self.service.wait_in_queue().await;
+        let entries = self.entries_of_answer(request.call);
+        let outcome = self.service.wait_in_queue(entries).await;
         if self.client_disconnected(unread) {
             self.service.count(|usage| usage.disconnected += 1);
             return Err(io::ErrorKind::ConnectionAborted.into());
@@ -119,6 +121,24 @@
         }
     }
 
+    /// Returns the number of list entries in the answer to a call.
+    fn entries_of_answer(&self, call: Call) -> usize {
+        let registry = self.service.registry.borrow();
+        match call {
+            Call::Watch { since } => registry.entries_since(self.resumable(since)),
+            Call::List => registry.len(),
+            Call::NotFound => 0,
+        }
+    }
+
+    /// Returns the version from which a watch resumes. Where watches end instead of sending changes, one that is behind
+    /// gets the full list.
+    fn resumable(&self, since: Option<u64>) -> Option<u64> {
+        let version = self.service.registry.borrow().version();
+        let sends_changes = self.service.on_change == WatchOnChange::Sends;
+        since.filter(|since| sends_changes || *since == version)
+    }
+
     async fn list(&mut self) -> io::Result<()> {
         self.service.count(|usage| usage.lists += 1);
         let body = self.service.registry.borrow_mut().full_list();
@@ -133,6 +153,7 @@
         // These steps run without a suspension point, so no change is published between them.
         let mut changes = self.service.subscribe();
         let mut written_version = self.service.registry.borrow().version();
+        let since = self.resumable(since);
         let first = self.service.registry.borrow_mut().chunk_since(since);
         self.write(protocol::WATCH_HEAD).await?;
         if let Some(chunk) = first {
@@ -151,6 +172,10 @@
                 None => self.write_heartbeat().await?,
                 // The change is part of the full list that was written after a lag.
                 Some(Ok(Change { version, .. })) if version <= written_version => continue,
+                Some(Ok(_)) if self.service.on_change == WatchOnChange::Ends => {
+                    // Without the last chunk, the client sees that the response is incomplete.
+                    return Err(io::ErrorKind::ConnectionAborted.into());
+                }
                 Some(Ok(Change { version, chunk })) => {
                     written_version = version;
                     self.write(&chunk).await?;
--- a/fleet-lab/src/discovery/handle.rs
+++ b/fleet-lab/src/discovery/handle.rs
@@ -1,5 +1,6 @@
 //! The handle with which experiments control a simulated discovery service.
 
+use super::call_queue::CallTimes;
 use super::entry::{EndpointEntry, ListSnapshot};
 use super::options::DiscoveryOptions;
 use super::server::{self, Command, Server};
@@ -36,7 +37,7 @@
         zones: &[ZoneName],
         endpoints: Vec<EndpointEntry>,
     ) -> io::Result<Self> {
-        let time_per_call = time_per_call(options.calls_per_second)?;
+        let times = call_times(options.calls_per_second, options.entries_per_second)?;
         if options.heartbeat.is_zero() {
             return Err(io::Error::new(
                 io::ErrorKind::InvalidInput,
@@ -60,7 +61,7 @@
                 .map(|(name, address)| Zone::new(name, address))
                 .collect();
             server::run(received_commands, &started, || {
-                Server::new(&options, time_per_call, zones, &endpoints)
+                Server::new(&options, times, zones, &endpoints)
             });
         };
         let thread = thread::Builder::new().name("discovery".into()).spawn(run)?;
@@ -96,16 +97,18 @@
         self.call(|reply| Command::Publish { changes, reply })
     }
 
-    /// Changes the number of calls handled a second. Calls that are already queued keep their slots.
+    /// Changes the number of calls handled and of list entries written a second. Calls that are already queued keep their
+    /// slots.
     ///
     /// # Errors
-    /// Fails if the rate is not positive.
-    pub fn set_calls_per_second(&self, calls_per_second: f64) -> io::Result<()> {
-        let time_per_call = time_per_call(calls_per_second)?;
-        self.call(|reply| Command::SetTimePerCall {
-            time_per_call,
-            reply,
-        });
+    /// Fails if a rate is not positive.
+    pub fn set_capacity(
+        &self,
+        calls_per_second: f64,
+        entries_per_second: Option<f64>,
+    ) -> io::Result<()> {
+        let times = call_times(calls_per_second, entries_per_second)?;
+        self.call(|reply| Command::SetTimes { times, reply });
         Ok(())
     }
 
@@ -188,15 +191,23 @@
     }
 }
 
-fn time_per_call(calls_per_second: f64) -> io::Result<Duration> {
+fn call_times(calls_per_second: f64, entries_per_second: Option<f64>) -> io::Result<CallTimes> {
+    let per_entry = entries_per_second.map(|rate| time_per("list entries", rate));
+    Ok(CallTimes {
+        per_call: time_per("calls", calls_per_second)?,
+        per_entry: per_entry.transpose()?.unwrap_or_default(),
+    })
+}
+
+fn time_per(what: &str, rate: f64) -> io::Result<Duration> {
     let problem = || {
         io::Error::new(
             io::ErrorKind::InvalidInput,
-            "the number of calls a second must be positive and finite",
+            format!("the number of {what} a second must be positive and finite"),
         )
     };
-    if calls_per_second.is_nan() || calls_per_second <= 0.0 {
+    if rate.is_nan() || rate <= 0.0 {
         return Err(problem());
     }
-    Duration::try_from_secs_f64(calls_per_second.recip()).map_err(|_| problem())
+    Duration::try_from_secs_f64(rate.recip()).map_err(|_| problem())
 }
--- a/fleet-lab/src/discovery/registry.rs
+++ b/fleet-lab/src/discovery/registry.rs
@@ -114,6 +114,20 @@
         Some(chunk)
     }
 
+    /// Returns how many entries the full list has.
+    pub(super) fn len(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Returns how many entries the first chunk of a watch has.
+    pub(super) fn entries_since(&self, since: Option<u64>) -> usize {
+        match since {
+            Some(since) if since == self.version => 0,
+            Some(since) if self.retains_changes_after(since) => self.changes_after(since).len(),
+            _ => self.len(),
+        }
+    }
+
     fn apply(&mut self, changes: &[EndpointEntry]) {
         for entry in changes {
             if entry.status == EndpointStatus::Deleted {
--- a/fleet-lab/src/discovery/server.rs
+++ b/fleet-lab/src/discovery/server.rs
@@ -1,5 +1,6 @@
 //! The service's thread, which executes the commands of other threads and hosts the tasks of the connections.
 
+use super::call_queue::CallTimes;
 use super::entry::{EndpointEntry, ListSnapshot};
 use super::options::DiscoveryOptions;
 use super::service::Service;
@@ -11,7 +12,6 @@
 use std::io;
 use std::rc::Rc;
 use std::sync::mpsc::SyncSender;
-use std::time::Duration;
 use tokio::runtime;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::LocalSet;
@@ -26,8 +26,8 @@
         changes: Vec<EndpointEntry>,
         reply: SyncSender<u64>,
     },
-    SetTimePerCall {
-        time_per_call: Duration,
+    SetTimes {
+        times: CallTimes,
         reply: SyncSender<()>,
     },
     BeginOutage {
@@ -85,12 +85,12 @@
     /// Creates a server that does not listen yet.
     pub(super) fn new(
         options: &DiscoveryOptions,
-        time_per_call: Duration,
+        times: CallTimes,
         zones: Vec<Zone>,
         endpoints: &[EndpointEntry],
     ) -> Self {
         Server {
-            service: Rc::new(Service::new(options, time_per_call, endpoints)),
+            service: Rc::new(Service::new(options, times, endpoints)),
             zones,
         }
     }
@@ -114,11 +114,8 @@
                 reply_to(&reply, self.service.registry.borrow().snapshot());
             }
             Command::Publish { changes, reply } => reply_to(&reply, self.service.publish(changes)),
-            Command::SetTimePerCall {
-                time_per_call,
-                reply,
-            } => {
-                self.service.set_time_per_call(time_per_call);
+            Command::SetTimes { times, reply } => {
+                self.service.set_times(times);
                 reply_to(&reply, ());
             }
             Command::BeginOutage { reply } => {
--- a/fleet-lab/src/discovery/service.rs
+++ b/fleet-lab/src/discovery/service.rs
@@ -1,8 +1,8 @@
 //! The state that all connections share: the registry, the call queue, the stream of changes and the counters.
 
-use super::call_queue::{Admission, CallQueue};
+use super::call_queue::{Admission, CallQueue, CallTimes};
 use super::entry::EndpointEntry;
-use super::options::DiscoveryOptions;
+use super::options::{DiscoveryOptions, WatchOnChange};
 use super::registry::{Change, Registry};
 use super::usage::DiscoveryUsage;
 use std::cell::{Cell, RefCell};
@@ -29,6 +29,8 @@
     pub(super) heartbeat: Duration,
     /// The endpoints and their version.
     pub(super) registry: RefCell<Registry>,
+    /// What becomes of an open watch when the list changes.
+    pub(super) on_change: WatchOnChange,
     /// The counters, without open watches and processor time, which are read on demand.
     pub(super) usage: RefCell<DiscoveryUsage>,
     call_queue: RefCell<CallQueue>,
@@ -40,18 +42,15 @@
     /// Creates the service with these endpoints as its first version.
     pub(super) fn new(
         options: &DiscoveryOptions,
-        time_per_call: Duration,
+        times: CallTimes,
         endpoints: &[EndpointEntry],
     ) -> Self {
         Service {
             heartbeat: options.heartbeat,
             registry: RefCell::new(Registry::new(endpoints, options.retained_changes)),
+            on_change: options.on_change,
             usage: RefCell::default(),
-            call_queue: RefCell::new(CallQueue::new(
-                time_per_call,
-                options.queue_timeout,
-                Instant::now(),
-            )),
+            call_queue: RefCell::new(CallQueue::new(times, options.queue_timeout, Instant::now())),
             queued: Rc::default(),
             changes: broadcast::Sender::new(CHANGES_IN_FLIGHT),
         }
@@ -71,10 +70,10 @@
         self.changes.subscribe()
     }
 
-    /// Queues a call and waits until it is handled or times out.
-    pub(super) async fn wait_in_queue(&self) -> QueueOutcome {
+    /// Queues a call whose answer has this number of list entries, and waits until it is handled or times out.
+    pub(super) async fn wait_in_queue(&self, entries: usize) -> QueueOutcome {
         let now = Instant::now();
-        let admission = self.call_queue.borrow_mut().enqueue(now);
+        let admission = self.call_queue.borrow_mut().enqueue(now, entries);
         let (until, outcome) = match admission {
             Admission::HandledAt(slot) => (slot, QueueOutcome::Handled),
             Admission::TimesOutAt(timeout) => (timeout, QueueOutcome::TimedOut),
@@ -88,11 +87,9 @@
         outcome
     }
 
-    /// Changes the rate at which calls are handled. Calls that are already queued keep their slots.
-    pub(super) fn set_time_per_call(&self, time_per_call: Duration) {
-        self.call_queue
-            .borrow_mut()
-            .set_time_per_call(time_per_call);
+    /// Changes the times of calls. Calls that are already queued keep their slots.
+    pub(super) fn set_times(&self, times: CallTimes) {
+        self.call_queue.borrow_mut().set_times(times);
     }
 
     /// Removes all queued calls and resets the longest queue.
--- a/fleet-lab/src/experiment.rs
+++ b/fleet-lab/src/experiment.rs
@@ -2,6 +2,7 @@
 
 mod check;
 
+use crate::discovery::WatchOnChange;
 use crate::endpoint::EndpointOptions;
 use crate::fault::Fault;
 use crate::topology::TopologySize;
@@ -45,6 +46,9 @@
     Outage(Outage),
     /// Time until all sidecars are ready after a simultaneous restart, by fleet size.
     FleetRestart(FleetRestart),
+    /// Time until each version of the list is known while discovery is crowded, and how many sidecars are late, by fleet
+    /// size.
+    CrowdedDiscovery(CrowdedDiscovery),
     /// The cost of each failure of the operators' plan, and its duration.
     Failures(Failures),
 }
@@ -145,6 +149,12 @@
     /// Seconds that a call may be queued; then it is answered 503.
     #[serde(rename = "longest_wait_seconds")]
     pub queue_timeout_seconds: f64,
+    /// List entries that it writes a second, beside its time for each call; without it entries cost no time.
+    #[serde(default)]
+    pub entries_per_second: Option<f64>,
+    /// What becomes of an open watch when the list changes.
+    #[serde(default)]
+    pub on_change: WatchOnChange,
 }
 
 /// A fleet of simulated sidecars.
@@ -200,6 +210,22 @@
     pub timeout_seconds: f64,
 }
 
+/// See [`Measurement::CrowdedDiscovery`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct CrowdedDiscovery {
+    /// The fleet.
+    pub fleet: Fleet,
+    /// The fraction of the sidecars that are killed and started again at the first version.
+    pub restarted_fraction: f64,
+    /// The number of versions, which are published one after another.
+    pub versions: u32,
+    /// Seconds between two versions.
+    pub interval_seconds: f64,
+    /// Seconds after a version's publication at which a sidecar without it is late.
+    pub late_after_seconds: f64,
+}
+
 /// See [`Measurement::Failures`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/fleet-lab/src/experiment/check.rs
+++ b/fleet-lab/src/experiment/check.rs
@@ -1,8 +1,9 @@
 //! Checks of an experiment's values: sizes, rates, fractions and durations within limits that one machine can run.
 
 use super::{
-    AddedLatency, AddedLatencyByDepth, ControlCost, DiscoveryCapacity, Experiment, Failures, Fleet,
-    FleetRestart, Measurement, Memory, Outage, Propagation, RetryAmplification, ValueFault,
+    AddedLatency, AddedLatencyByDepth, ControlCost, CrowdedDiscovery, DiscoveryCapacity,
+    Experiment, Failures, Fleet, FleetRestart, Measurement, Memory, Outage, Propagation,
+    RetryAmplification, ValueFault,
 };
 use crate::endpoint::{EndpointOptions, ServiceTime};
 use crate::fault::Fault;
@@ -24,6 +25,8 @@
 const MAX_EVENTS: u32 = 10_000;
 /// The highest rate of calls a second, over all sidecars.
 const MAX_RATE: f64 = 100_000.0;
+/// The highest rate of list entries a second that discovery writes.
+const MAX_ENTRIES_PER_SECOND: f64 = 1e9;
 /// The longest duration, in seconds.
 const MAX_SECONDS: f64 = 600.0;
 /// The longest service time of an endpoint, in milliseconds.
@@ -45,6 +48,7 @@
         Measurement::Propagation(plan) => propagation(plan, &mut faults),
         Measurement::Outage(plan) => outage(plan, &mut faults),
         Measurement::FleetRestart(plan) => fleet_restart(plan, &mut faults),
+        Measurement::CrowdedDiscovery(plan) => crowded_discovery(plan, &mut faults),
         Measurement::Failures(plan) => failures(plan, &mut faults),
     }
     faults.0
@@ -194,6 +198,14 @@
     faults.seconds("measure.longest_seconds", plan.timeout_seconds);
 }
 
+fn crowded_discovery(plan: &CrowdedDiscovery, faults: &mut Faults) {
+    fleet(&plan.fleet, faults);
+    faults.fraction("measure.restarted_fraction", plan.restarted_fraction);
+    faults.count("measure.versions", plan.versions, MAX_EVENTS);
+    faults.seconds("measure.interval_seconds", plan.interval_seconds);
+    faults.seconds("measure.late_after_seconds", plan.late_after_seconds);
+}
+
 fn failures(plan: &Failures, faults: &mut Faults) {
     topology(&plan.topology, faults);
     faults.within(
@@ -236,6 +248,10 @@
         &format!("{field}.longest_wait_seconds"),
         capacity.queue_timeout_seconds,
     );
+    if let Some(rate) = capacity.entries_per_second {
+        let field = format!("{field}.entries_per_second");
+        faults.positive(&field, rate, MAX_ENTRIES_PER_SECOND);
+    }
 }
 
 fn topology(size: &TopologySize, faults: &mut Faults) {
--- a/fleet-lab/src/scenario/fleet.rs
+++ b/fleet-lab/src/scenario/fleet.rs
@@ -133,7 +133,10 @@
             return Err(ScenarioError::NotReached(problem));
         }
         discovery
-            .set_calls_per_second(self.capacity.calls_per_second)
+            .set_capacity(
+                self.capacity.calls_per_second,
+                self.capacity.entries_per_second,
+            )
             .map_err(ScenarioError::step("set discovery's capacity"))?;
         Ok(RunningFleet {
             sidecars,
@@ -147,6 +150,8 @@
             calls_per_second: START_CALLS_PER_SECOND,
             queue_timeout: Duration::from_secs_f64(self.capacity.queue_timeout_seconds),
             heartbeat: HEARTBEAT,
+            entries_per_second: None,
+            on_change: self.capacity.on_change,
             retained_changes: RETAINED_CHANGES,
         }
     }
--- a/fleet-lab/src/scenario/mod.rs
+++ b/fleet-lab/src/scenario/mod.rs
@@ -4,6 +4,7 @@
 mod client_connections;
 mod context;
 mod control_cost;
+mod crowded_discovery;
 mod depth;
 mod failures;
 mod fleet;
@@ -44,6 +45,7 @@
         Measurement::Propagation(plan) => propagation::run(plan, seed),
         Measurement::Outage(plan) => outage::run(plan, seed),
         Measurement::FleetRestart(plan) => fleet_restart::run(plan, seed),
+        Measurement::CrowdedDiscovery(plan) => crowded_discovery::run(plan, seed),
         Measurement::Failures(plan) => failures::run(plan, seed),
     }?;
     Ok(ExperimentReport {
--- a/fleet-lab/src/scenario/single_sidecar.rs
+++ b/fleet-lab/src/scenario/single_sidecar.rs
@@ -3,7 +3,7 @@
 use super::context::RunContext;
 use super::load::{SAFE_CLASS, UNSAFE_CLASS};
 use super::outcome::ScenarioError;
-use crate::discovery::DiscoveryOptions;
+use crate::discovery::{DiscoveryOptions, WatchOnChange};
 use crate::endpoint::{EndpointHandle, EndpointHost, EndpointOptions};
 use crate::loopback_tier::{LoopbackTier, LoopbackTierOptions, start_endpoint};
 use crate::measure::ProcessUsage;
@@ -24,6 +24,8 @@
     calls_per_second: 1_000.0,
     queue_timeout: Duration::from_secs(5),
     heartbeat: Duration::from_secs(2),
+    entries_per_second: None,
+    on_change: WatchOnChange::Sends,
     retained_changes: 1_000,
 };
 /// Threads that run the endpoints.
--- a/fleet-lab/tests/discovery.rs
+++ b/fleet-lab/tests/discovery.rs
@@ -7,7 +7,7 @@
 
 use discovery_client::{Client, LIST, TIMEOUT, summarize, zones};
 use fleet_lab::discovery::{
-    DiscoveryOptions, DiscoveryServer, EndpointEntry, EndpointStatus, ListSnapshot,
+    DiscoveryOptions, DiscoveryServer, EndpointEntry, EndpointStatus, ListSnapshot, WatchOnChange,
 };
 use hyper::body::Incoming;
 use serde_json::Value;
@@ -21,6 +21,8 @@
         calls_per_second: 10_000.0,
         queue_timeout: TIMEOUT,
         heartbeat: TIMEOUT,
+        entries_per_second: None,
+        on_change: WatchOnChange::Sends,
         retained_changes: 3,
     }
 }
@@ -221,9 +223,9 @@
         client.answer().0
     };
     assert_eq!([list_status(), list_status()], [200, 200]);
-    server.set_calls_per_second(0.01).unwrap();
+    server.set_capacity(0.01, None).unwrap();
     assert_eq!([list_status(), list_status()], [200, 503]);
-    assert!(server.set_calls_per_second(0.0).is_err());
+    assert!(server.set_capacity(0.0, None).is_err());
 }
 
 #[test]
--- a/fleet-lab/tests/simulated_fleet.rs
+++ b/fleet-lab/tests/simulated_fleet.rs
@@ -4,7 +4,9 @@
 mod wait;
 
 use balancer_sidecar::policy::DiscoveryMode;
-use fleet_lab::discovery::{DiscoveryOptions, DiscoveryServer, EndpointEntry, EndpointStatus};
+use fleet_lab::discovery::{
+    DiscoveryOptions, DiscoveryServer, EndpointEntry, EndpointStatus, WatchOnChange,
+};
 use fleet_lab::sidecar::configuration::{
     LoadReports, RequestClass, ResourceLimits, SidecarConfiguration, TierPosition,
 };
@@ -33,6 +35,8 @@
         calls_per_second: 400.0,
         queue_timeout: Duration::from_secs(2),
         heartbeat: Duration::from_secs(1),
+        entries_per_second: None,
+        on_change: WatchOnChange::Sends,
         retained_changes: 16,
     };
     let endpoints = (0..endpoints)
