--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -4,6 +4,7 @@
 mod cancellation_support;
 mod client_cancellation;
 mod client_disconnects;
+mod crowded_discovery;
 mod descriptor_pressure;
 mod disabled_endpoints;
 mod discovery_hedging;
--- a/tests/sidecar/stubs/mod.rs
+++ b/tests/sidecar/stubs/mod.rs
@@ -9,6 +9,7 @@
 mod program;
 pub mod raw_http;
 mod response_gate;
+mod restartable_endpoint;
 mod scripted_endpoint;
 
 pub use caller::*;
@@ -19,4 +20,5 @@
 pub use message::*;
 pub use program::*;
 pub use response_gate::*;
+pub use restartable_endpoint::*;
 pub use scripted_endpoint::*;
--- /dev/null
+++ b/tests/sidecar/stubs/restartable_endpoint.rs
@@ -0,0 +1,124 @@
+//! An endpoint whose process can end and start again at its address.
+
+use super::message::*;
+use socket2::SockRef;
+use std::io::{BufReader, ErrorKind, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+/// How often the threads of a process look whether it has ended.
+const CHECK_INTERVAL: Duration = Duration::from_millis(2);
+
+/// An endpoint that answers each request with 200 while it runs. When it ends, its connections are reset and new ones are
+/// refused.
+pub struct RestartableEndpoint {
+    pub address: SocketAddr,
+    process: Option<EndpointProcess>,
+}
+
+/// What stands in for one process of the endpoint.
+struct EndpointProcess {
+    state: Arc<ProcessState>,
+    accepting: JoinHandle<()>,
+}
+
+#[derive(Default)]
+struct ProcessState {
+    has_ended: AtomicBool,
+    requests: AtomicUsize,
+}
+
+impl RestartableEndpoint {
+    pub fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        RestartableEndpoint {
+            address: listener.local_addr().expect("an address"),
+            process: Some(EndpointProcess::start(listener)),
+        }
+    }
+
+    /// Ends the process, and returns once its connections are reset and it does not listen any more.
+    pub fn end(&mut self) {
+        let process = self.process.take().expect("it runs");
+        process.state.has_ended.store(true, Ordering::SeqCst);
+        process.accepting.join().expect("it ends");
+    }
+
+    /// Starts a new process at the same address.
+    pub fn start_again(&mut self) {
+        assert!(self.process.is_none(), "it has ended");
+        let listener = TcpListener::bind(self.address).expect("the port is free");
+        self.process = Some(EndpointProcess::start(listener));
+    }
+
+    /// Returns how many requests the present process has received.
+    pub fn request_count(&self) -> usize {
+        let process = self.process.as_ref().expect("it runs");
+        process.state.requests.load(Ordering::SeqCst)
+    }
+}
+
+impl EndpointProcess {
+    fn start(listener: TcpListener) -> Self {
+        let state = Arc::<ProcessState>::default();
+        let accepting = {
+            let state = state.clone();
+            thread::spawn(move || accept_until_ended(&listener, &state))
+        };
+        EndpointProcess { state, accepting }
+    }
+}
+
+fn accept_until_ended(listener: &TcpListener, state: &Arc<ProcessState>) {
+    listener.set_nonblocking(true).expect("an option");
+    let mut connections = Vec::new();
+    while !state.has_ended.load(Ordering::SeqCst) {
+        let Ok((stream, _)) = listener.accept() else {
+            thread::sleep(CHECK_INTERVAL);
+            continue;
+        };
+        let state = state.clone();
+        connections.push(thread::spawn(move || serve_until_ended(stream, &state)));
+    }
+    for connection in connections {
+        connection.join().expect("it ends");
+    }
+}
+
+/// Answers the requests on a connection, and resets it when the process ends.
+fn serve_until_ended(stream: TcpStream, state: &ProcessState) {
+    stream.set_nonblocking(false).expect("an option");
+    SockRef::from(&stream)
+        .set_linger(Some(Duration::ZERO))
+        .expect("an option");
+    let mut reader = BufReader::new(stream);
+    while wait_for_request(reader.get_ref(), state) {
+        if read_message(&mut reader).is_none() {
+            return;
+        }
+        state.requests.fetch_add(1, Ordering::SeqCst);
+        let response = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        if reader.get_mut().write_all(response).is_err() {
+            return;
+        }
+    }
+}
+
+/// Waits until something can be read; returns false if the process has ended first.
+fn wait_for_request(stream: &TcpStream, state: &ProcessState) -> bool {
+    let set_timeout = |timeout| stream.set_read_timeout(timeout).expect("an option");
+    set_timeout(Some(CHECK_INTERVAL));
+    while !state.has_ended.load(Ordering::SeqCst) {
+        let is_silent = stream.peek(&mut [0]).is_err_and(|error| {
+            matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut)
+        });
+        if !is_silent {
+            set_timeout(None);
+            return true;
+        }
+    }
+    false
+}
