Suspend endpoints whose processes have ended while no watch shows the list to be current

What callers saw: none of them much; the operators saw requests sent to endpoints 2 s and more after these counted as removed. Cause: without a watch the sidecar goes on with the list that it has, and takes whatever answers at a listed address for the listed process. An endpoint that was removed and started again was used at once, though the sidecar had seen its end: connections refused, idle ones reset. Outlier detection forgets one refused connection after some seconds. Change: an endpoint that refuses a connection or resets an idle one while the list is not confirmed is suspended until a list or a heartbeat comes on a watch, or a list names its new process (policy/suspension.rs). An end that was seen shortly before the watch was lost counts as well, as discovery lists it late. The log names each; app_members_suspended and suspended= count them. Why it works: what the list said held for a process that is gone. Result: endpoint_that_refused_a_connection... and endpoint_that_reset_idle_connections... pass, 1 to 5 requests before; both fail with the suspension taken out. In the first of the two tests the endpoint now closes each connection: with idle ones left, their reset comes before any refusal.

--- a/src/policy/balancer.rs
+++ b/src/policy/balancer.rs
@@ -45,6 +45,8 @@
     /// When a request that must not run twice was last lost.
     pub(super) last_unsafe_loss: Option<Timestamp>,
     pub(super) discovery_schedule: DiscoverySchedule,
+    /// Since when no watch shows the list to be current; `None` while one does.
+    pub(super) list_unconfirmed_since: Option<Timestamp>,
     /// When the timer that was last set at the host expires.
     pub(super) timer_expires_at: Option<Timestamp>,
 }
@@ -74,6 +76,7 @@
             slow_start_clock: 0.0,
             last_unsafe_loss: None,
             discovery_schedule: DiscoverySchedule::default(),
+            list_unconfirmed_since: None,
             timer_expires_at: None,
             settings,
         };
--- a/src/policy/endpoint.rs
+++ b/src/policy/endpoint.rs
@@ -32,6 +32,10 @@
     /// The list names it.
     pub(super) is_listed: bool,
     pub(super) started_at: Option<Timestamp>,
+    /// When its process was last seen to have ended, while the list still names that process.
+    pub(super) ended_at: Option<Timestamp>,
+    /// It is sent nothing because its process has ended and the list may be old.
+    pub(super) is_suspended: bool,
     /// When the operators last enabled it. It may have restarted while it was disabled, which the list shows late.
     pub(super) enabled_at: Option<Timestamp>,
     /// Its first request is sent as soon as it can take one.
@@ -76,6 +80,8 @@
             is_draining: false,
             is_listed: false,
             started_at: entry.started_at,
+            ended_at: None,
+            is_suspended: false,
             enabled_at: None,
             awaits_first_send: false,
             in_subset: false,
@@ -95,12 +101,11 @@
         }
     }
 
-    /// Applies an entry of an endpoint list.
-    pub(super) fn update(&mut self, entry: &EndpointEntry, is_disabled: bool) {
+    /// Applies an entry of an endpoint list. Whether the endpoint is available then has to be updated.
+    pub(super) fn update(&mut self, entry: &EndpointEntry) {
         self.is_listed = entry.readiness != Readiness::Removed;
         self.size = if entry.size > 0.0 { entry.size } else { 1.0 };
         self.is_serving = entry.readiness == Readiness::Serving;
-        self.is_available = self.is_serving && !is_disabled;
         // A draining endpoint that was removed from the list still finishes its work.
         let was_draining = self.is_draining || entry.readiness == Readiness::Draining;
         self.is_draining = !self.is_serving && was_draining;
@@ -119,6 +124,8 @@
     /// Resets what was learned of the previous process: its queue, slowdown and failures.
     pub(super) fn restart(&mut self, started_at: Option<Timestamp>) {
         self.started_at = started_at;
+        self.ended_at = None;
+        self.is_suspended = false;
         self.gapping_levels = 0;
         self.discarding_levels = 0;
         self.slowdown = 1.0;
--- a/src/policy/event.rs
+++ b/src/policy/event.rs
@@ -149,6 +149,19 @@
     },
     /// A call of discovery failed, or the watch was lost.
     DiscoveryFailed,
+    /// The list is current: something was received on an open watch after a time without one.
+    ListConfirmed,
+    /// No watch shows the list to be current any more.
+    ListUnconfirmed {
+        /// When something was last received on a watch.
+        since: Timestamp,
+    },
+    /// An endpoint refused a connection, or reset one that was idle: its process has ended, and what listens at its
+    /// address from now on is another one.
+    ProcessEnded {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
     /// The operators disabled an endpoint: it is sent nothing, whatever lists say.
     EndpointDisabled(EndpointId),
     /// The operators enabled an endpoint.
--- a/src/policy/membership.rs
+++ b/src/policy/membership.rs
@@ -24,8 +24,11 @@
         actions: &mut Vec<Action>,
     ) {
         self.discovery_schedule.succeeded();
-        if kind == ListKind::Cached && self.settings.discovery == DiscoveryMode::OnRequest {
-            self.check_cached_list(now);
+        if kind == ListKind::Cached {
+            self.list_unconfirmed(now, now, actions);
+            if self.settings.discovery == DiscoveryMode::OnRequest {
+                self.check_cached_list(now);
+            }
         }
         if kind != ListKind::Changes {
             for endpoint in self.endpoints.iter_mut() {
@@ -43,11 +46,11 @@
         let Some(index) = self.endpoints.find_or_insert(entry, self.classes.len()) else {
             return;
         };
-        let is_disabled = self.endpoints.is_disabled(&entry.endpoint);
         let locality = self.locality(index);
         let endpoint = &mut self.endpoints[index];
         endpoint.locality = locality;
-        endpoint.update(entry, is_disabled);
+        endpoint.update(entry);
+        self.update_availability(index);
         self.close_idle_if_draining(index, actions);
     }
 
@@ -79,13 +82,14 @@
     /// Disables an endpoint until the operators enable it, whatever lists say. Attempts in flight continue; queued
     /// requests and retries go to other endpoints.
     pub(super) fn disable(&mut self, now: Timestamp, id: EndpointId, actions: &mut Vec<Action>) {
-        if let Some(index) = self.endpoints.index_of(&id) {
-            self.endpoints[index].is_available = false;
-        }
         actions.push(Action::CloseIdleConnections {
             endpoint: id.clone(),
         });
+        let index = self.endpoints.index_of(&id);
         self.endpoints.disable(id);
+        if let Some(index) = index {
+            self.update_availability(index);
+        }
         self.repartition_endpoints(now);
     }
 
@@ -100,11 +104,18 @@
             endpoint.restart(endpoint.started_at);
             endpoint.enabled_at = Some(now);
             endpoint.awaits_first_send = true;
-            endpoint.is_available = endpoint.is_serving;
+            self.update_availability(index);
         }
         self.repartition_endpoints(now);
     }
 
+    /// Updates whether an endpoint takes work: by the list, by the operators, and by what was seen of its process.
+    pub(super) fn update_availability(&mut self, index: EndpointIndex) {
+        let is_disabled = self.endpoints.is_disabled(&self.endpoints[index].id);
+        let endpoint = &mut self.endpoints[index];
+        endpoint.is_available = endpoint.is_serving && !is_disabled && !endpoint.is_suspended;
+    }
+
     /// Partitions the available endpoints into local and remote ones, and selects the subset again.
     pub(super) fn repartition_endpoints(&mut self, now: Timestamp) {
         let endpoints = &self.endpoints;
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -13,6 +13,7 @@
 //! | the priority level of a request | `priority_level.rs` |
 //! | clear, gapping or discarding; state expiry; gap | `overload_state.rs` |
 //! | which endpoints take work | `membership.rs` |
+//! | which endpoints are suspended while the list may be old | `suspension.rs` |
 //! | the subset | `subset.rs` |
 //! | the endpoint of an attempt | `pick.rs` |
 //! | which endpoints are outliers | `outlier.rs` |
@@ -81,6 +82,7 @@
 mod slow_start;
 mod status;
 mod subset;
+mod suspension;
 mod thresholds;
 mod time;
 mod timer;
--- a/src/policy/status.rs
+++ b/src/policy/status.rs
@@ -20,8 +20,11 @@
     pub discarding: usize,
     /// Endpoints whose overload state is known and has not expired.
     pub current_states: usize,
-    /// Listed endpoints that are sent nothing: they drain, are disabled, or discard every priority level.
+    /// Listed endpoints that are sent nothing: they drain, are disabled or suspended, or discard every
+    /// priority level.
     pub unavailable: usize,
+    /// Listed endpoints that are suspended, which count as unavailable too.
+    pub suspended: usize,
 }
 
 impl Balancer {
@@ -36,6 +39,11 @@
             unavailable: endpoints
                 .filter(|endpoint| endpoint.is_listed && !endpoint.is_available)
                 .count(),
+            suspended: self
+                .endpoints
+                .iter()
+                .filter(|endpoint| endpoint.is_listed && endpoint.is_suspended)
+                .count(),
             ..BalancerStatus::default()
         };
         let level_count = self.thresholds.level_count();
--- a/src/sidecar/endpoint/attempt.rs
+++ b/src/sidecar/endpoint/attempt.rs
@@ -1,7 +1,7 @@
 //! One attempt of a request at an endpoint.
 
 use super::attempt_result::{AttemptResult, ResponseBody};
-use super::connect::connect;
+use super::connect::{connect, report_refusal};
 use super::connection::{EndpointConnection, ExchangeError, ExchangeKind};
 use super::forwarded_request::{AttemptSpec, ForwardedRequest};
 use super::hedged_dial::dial_hedged;
@@ -96,14 +96,19 @@
             });
         }
         // Only the first dial may evict other connections for its descriptor.
-        let dial = || connect(self.host, target.address);
+        let dial = || connect(self.host, target);
         let may_hedge = || !self.host.descriptors_exhausted();
         let connect_timeout = self.host.connect_timeout();
-        let connection = dial_hedged(dial, may_hedge, connect_timeout, deadline).await?;
-        Some(AcquiredConnection {
-            connection,
-            origin: ConnectionOrigin::New,
-        })
+        match dial_hedged(dial, may_hedge, connect_timeout, deadline).await {
+            Ok(connection) => Some(AcquiredConnection {
+                connection,
+                origin: ConnectionOrigin::New,
+            }),
+            Err(error) => {
+                report_refusal(self.host, target, &error);
+                None
+            }
+        }
     }
 
     /// Sends the request and receives the response, or its beginning. Returns `None` when it did not come in time.
--- a/src/sidecar/endpoint/connect.rs
+++ b/src/sidecar/endpoint/connect.rs
@@ -1,25 +1,33 @@
 //! New connections to endpoints.
 
 use super::connection::EndpointConnection;
+use super::forwarded_request::Target;
 use super::host::EndpointHost;
 use super::write_progress::WriteProgress;
 use std::io;
-use std::net::SocketAddr;
 use tokio::net::TcpStream;
+use tokio::task::spawn_local;
 
 /// Opens a connection. Another one may be closed for its descriptor.
 ///
 /// # Errors
 /// No descriptor is available, or the connection was not established.
-pub async fn connect(
-    host: &impl EndpointHost,
-    address: SocketAddr,
-) -> io::Result<EndpointConnection> {
+pub async fn connect(host: &impl EndpointHost, target: &Target) -> io::Result<EndpointConnection> {
     let permit = host
         .connect_permit()
         .ok_or_else(|| io::Error::other("no descriptors left"))?;
-    let stream = TcpStream::connect(address).await?;
+    let stream = TcpStream::connect(target.address).await?;
     stream.set_nodelay(true)?;
     let progress = WriteProgress::new(permit.attempts_written);
-    EndpointConnection::handshake(stream, progress, permit.descriptor).await
+    let (host, target) = (host.clone(), target.clone());
+    // The host may be in use while the reset is noticed.
+    let on_idle_reset = move || drop(spawn_local(async move { host.process_ended(&target) }));
+    EndpointConnection::handshake(stream, progress, permit.descriptor, on_idle_reset).await
+}
+
+/// Reports to the host that the endpoint's process has ended, if that is why a connection failed.
+pub fn report_refusal(host: &impl EndpointHost, target: &Target, error: &io::Error) {
+    if error.kind() == io::ErrorKind::ConnectionRefused {
+        host.process_ended(target);
+    }
 }
--- a/src/sidecar/endpoint/connection.rs
+++ b/src/sidecar/endpoint/connection.rs
@@ -3,15 +3,17 @@
 use super::request_body::RequestBody;
 use super::response::{EndpointResponse, FramingError, check_framing};
 use super::write_progress::WriteProgress;
-use crate::sidecar::body::{Buffering, buffer_size, receive_response};
+use crate::sidecar::body::{Buffering, ReceivedResponse, buffer_size, receive_response};
 use crate::sidecar::descriptors::DescriptorPermit;
 use crate::sidecar::memory::MemoryBudget;
-use crate::sidecar::sockets::{self, ObservedSocket};
+use crate::sidecar::sockets::{self, ObservedSocket, SocketState};
 use crate::task::Task;
 use hyper::Request;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use std::cell::Cell;
+use std::error::Error as _;
 use std::fmt;
 use std::io;
 use std::rc::Rc;
@@ -31,9 +33,28 @@
     sender: SendRequest<RequestBody>,
     stream: Rc<TcpStream>,
     progress: Rc<WriteProgress>,
+    use_state: Rc<UseState>,
     _task: Task,
 }
 
+/// Whether a connection is in use, and what is to be done when it is reset while it is not.
+struct UseState {
+    /// An exchange on it is complete, and no other one has begun.
+    is_idle: Cell<bool>,
+    on_idle_reset: Cell<Option<Box<dyn FnOnce()>>>,
+}
+
+impl UseState {
+    /// Notes that the connection was reset.
+    fn reset(&self) {
+        if self.is_idle.get()
+            && let Some(on_idle_reset) = self.on_idle_reset.take()
+        {
+            on_idle_reset();
+        }
+    }
+}
+
 /// What an exchange on a connection is for.
 #[derive(Clone, Copy)]
 pub enum ExchangeKind<'a> {
@@ -58,7 +79,8 @@
 }
 
 impl EndpointConnection {
-    /// Starts HTTP/1.1 on a connected socket.
+    /// Starts HTTP/1.1 on a connected socket. `on_idle_reset` is called if the endpoint resets the connection after a
+    /// complete exchange and before the next.
     ///
     /// # Errors
     /// The handshake with hyper failed.
@@ -66,6 +88,7 @@
         stream: TcpStream,
         progress: WriteProgress,
         descriptor: DescriptorPermit,
+        on_idle_reset: impl FnOnce() + 'static,
     ) -> io::Result<Self> {
         let (stream, progress) = (Rc::new(stream), Rc::new(progress));
         let socket = ObservedSocket::new(stream.clone(), progress.clone());
@@ -74,15 +97,23 @@
             .max_buf_size(READ_BUFFER)
             .handshake(TokioIo::new(socket));
         let (sender, connection) = handshake.await.map_err(io::Error::other)?;
+        let use_state = Rc::new(UseState {
+            is_idle: Cell::new(false),
+            on_idle_reset: Cell::new(Some(Box::new(on_idle_reset))),
+        });
+        let state_of_task = use_state.clone();
         let task = Task::spawn(async move {
             // The attempt in progress learns of an error from its own future.
-            let _ = connection.await;
+            if connection.await.is_err_and(|error| is_reset(&error)) {
+                state_of_task.reset();
+            }
             drop(descriptor);
         });
         Ok(EndpointConnection {
             sender,
             stream,
             progress,
+            use_state,
             _task: task,
         })
     }
@@ -105,6 +136,7 @@
             ExchangeKind::Attempt(_) => self.progress.on_attempt_started(),
             ExchangeKind::HealthCheck => self.progress.on_health_check_started(),
         }
+        self.use_state.is_idle.set(false);
         let too_many_informational = limit_informational(&mut request);
         let response = tokio::select! {
             response = self.sender.try_send_request(request) => response.map_err(TrySendError::into_error)?,
@@ -120,6 +152,8 @@
             ExchangeKind::HealthCheck => (Buffering::UpToLimit, None),
         };
         let body = receive_response(body, buffering).await;
+        let is_complete = matches!(body, Ok(ReceivedResponse::Complete(_)));
+        self.use_state.is_idle.set(is_complete);
         Ok(EndpointResponse {
             head: hyper::Response::from_parts(head, ()),
             body,
@@ -134,7 +168,14 @@
     /// Returns whether the connection can carry a request now: it is open, and has no unread bytes, which would be taken
     /// for the next request's response.
     pub fn is_ready(&self) -> bool {
-        self.sender.is_ready() && sockets::is_open_without_unread(&self.stream)
+        match sockets::state(&self.stream) {
+            SocketState::OpenWithoutUnread => self.sender.is_ready(),
+            SocketState::Reset => {
+                self.use_state.reset();
+                false
+            }
+            SocketState::ClosedOrUnread => false,
+        }
     }
 }
 
@@ -148,6 +189,12 @@
     }
 }
 
+/// Returns whether a connection ended because the endpoint reset it.
+fn is_reset(error: &hyper::Error) -> bool {
+    let source = error.source().and_then(|source| source.downcast_ref());
+    source.is_some_and(|error: &io::Error| error.kind() == io::ErrorKind::ConnectionReset)
+}
+
 /// Returns what is notified once the request has got more informational responses than allowed.
 fn limit_informational(request: &mut Request<RequestBody>) -> Arc<Notify> {
     let too_many = Arc::new(Notify::new());
--- a/src/sidecar/endpoint/health_check.rs
+++ b/src/sidecar/endpoint/health_check.rs
@@ -1,7 +1,7 @@
 //! Health checks: calls of an endpoint for its load report alone.
 
 use super::attempt_result::AttemptResult;
-use super::connect::connect;
+use super::connect::{connect, report_refusal};
 use super::connection::ExchangeKind;
 use super::forwarded_request::Target;
 use super::host::EndpointHost;
@@ -36,9 +36,12 @@
         None if host.descriptors_exhausted() => {
             return AttemptResult::without_response(Outcome::ConnectFailed);
         }
-        None => match connect(host, target.address).await {
+        None => match connect(host, target).await {
             Ok(connection) => connection,
-            Err(_) => return AttemptResult::without_response(Outcome::ConnectFailed),
+            Err(error) => {
+                report_refusal(host, target, &error);
+                return AttemptResult::without_response(Outcome::ConnectFailed);
+            }
         },
     };
     let body = RequestBody::new(Bytes::new(), None, connection.progress().clone());
--- a/src/sidecar/endpoint/hedged_dial.rs
+++ b/src/sidecar/endpoint/hedged_dial.rs
@@ -15,16 +15,18 @@
 /// timeout allows for many.
 const HEDGE_DELAY_FRACTION: f64 = 0.1;
 
-/// Dials until one connection is established, and drops the other dials. Returns `None` if the first dial to end failed,
-/// or none has ended by the deadline.
+/// Dials until one connection is established, and drops the other dials.
 ///
 /// `dial` starts one dial; `may_hedge` says whether descriptors allow one more beside those in progress.
+///
+/// # Errors
+/// The first dial to end failed, or none has ended by the deadline.
 pub async fn dial_hedged<Connection, Dial>(
     dial: impl Fn() -> Dial,
     may_hedge: impl Fn() -> bool,
     connect_timeout: Duration,
     deadline: Instant,
-) -> Option<Connection>
+) -> io::Result<Connection>
 where
     Dial: Future<Output = io::Result<Connection>>,
 {
@@ -38,10 +40,10 @@
         };
         let first_ended = poll_fn(|context| poll_first_ended(&mut dials, context));
         if let Ok(result) = timeout_at(wait_until, first_ended).await {
-            return result.ok();
+            return result;
         }
         if Instant::now() >= deadline {
-            return None;
+            return Err(io::ErrorKind::TimedOut.into());
         }
         if may_hedge() {
             dials.push(Box::pin(dial()));
--- a/src/sidecar/endpoint/host.rs
+++ b/src/sidecar/endpoint/host.rs
@@ -47,6 +47,9 @@
     /// changed while the connection was established.
     fn may_write(&self, spec: &AttemptSpec) -> bool;
 
+    /// Reports that an endpoint refused a connection or reset an idle one: its process has ended.
+    fn process_ended(&self, target: &Target);
+
     /// Reports that an attempt has ended.
     fn attempt_ended(&self, spec: &AttemptSpec, result: AttemptResult);
 
--- a/src/sidecar/metrics.rs
+++ b/src/sidecar/metrics.rs
@@ -49,6 +49,8 @@
     pub listed: usize,
     /// Those of them that get no requests now.
     pub unavailable: usize,
+    /// Those of them whose processes have ended, while the list may be old.
+    pub suspended: usize,
 }
 
 /// How current the endpoint list is.
@@ -156,6 +158,7 @@
             ("pending", self.pending.get()),
             ("members", members.listed as u64),
             ("members_unavailable", members.unavailable as u64),
+            ("members_suspended", members.suspended as u64),
             ("list_version", list.version),
             ("list_unconfirmed_ms", list.unconfirmed_ms()),
             ("discovery_watches", list.watches_opened),
--- a/src/sidecar/node/attempts.rs
+++ b/src/sidecar/node/attempts.rs
@@ -9,9 +9,12 @@
 use std::time::Duration;
 
 impl Node {
-    /// Returns whether the same process of an endpoint still takes work, by its list entry and by the operators.
+    /// Returns whether the same process of an endpoint still takes work, by its list entry, by the operators, and by what
+    /// was seen of it.
     pub(super) fn takes_work(&self, target: &Target) -> bool {
-        self.endpoints.is_serving(target) && !self.balancer.is_disabled(&target.endpoint)
+        self.endpoints.is_serving(target)
+            && !self.balancer.is_disabled(&target.endpoint)
+            && !self.balancer.is_suspended(&target.endpoint)
     }
 
     /// Starts an attempt, if its request is still unanswered and its endpoint still listed.
--- a/src/sidecar/node/discovery.rs
+++ b/src/sidecar/node/discovery.rs
@@ -59,6 +59,10 @@
     pub(super) fn follow_discovery(&mut self, handle: &NodeHandle) {
         let mode = self.discovery_mode();
         self.endpoints.start_watch(handle.clone(), mode);
+        let now = self.clock.now();
+        if let Some(since) = self.endpoints.status_mut().watch_replaced(now) {
+            self.queue_event(Event::ListUnconfirmed { since });
+        }
     }
 }
 
@@ -100,10 +104,13 @@
             return;
         }
         let now = node.clock.now();
-        if let Some(unconfirmed) = node.endpoints.status_mut().confirm(now) {
-            let seconds = unconfirmed.as_secs_f64();
-            log!("endpoint list: current again after {seconds:.3} s without a watch");
-        }
+        let Some(unconfirmed) = node.endpoints.status_mut().confirm(now) else {
+            return;
+        };
+        drop(node);
+        let seconds = unconfirmed.as_secs_f64();
+        log!("endpoint list: current again after {seconds:.3} s without a watch");
+        self.handle(Event::ListConfirmed);
     }
 
     fn watch_ended(&self, source: Source, last_received_at: Option<Instant>) {
@@ -114,7 +121,11 @@
         let clock = node.clock;
         let last_received_at = last_received_at.map(|at| clock.timestamp(at));
         let status = node.endpoints.status_mut();
-        status.watch_ended(clock.now(), last_received_at);
+        let unconfirmed_since = status.watch_ended(clock.now(), last_received_at);
+        drop(node);
+        if let Some(since) = unconfirmed_since {
+            self.handle(Event::ListUnconfirmed { since });
+        }
     }
 
     /// A failure of the previous source is ignored: it was to be expected after the move.
--- a/src/sidecar/node/endpoint_host.rs
+++ b/src/sidecar/node/endpoint_host.rs
@@ -69,6 +69,14 @@
             && node.clock.now() < spec.deadline
     }
 
+    fn process_ended(&self, target: &Target) {
+        if self.borrow().endpoints.is_same_process(target) {
+            self.handle(Event::ProcessEnded {
+                endpoint: target.endpoint.clone(),
+            });
+        }
+    }
+
     /// The first attempt that is served is the request's final answer.
     fn attempt_ended(&self, spec: &AttemptSpec, result: AttemptResult) {
         let request = &spec.request;
--- a/src/sidecar/node/list_status.rs
+++ b/src/sidecar/node/list_status.rs
@@ -35,10 +35,28 @@
     }
 
     /// Records that a call failed, or that a watch was lost on which something was last received at `last_received_at`.
-    pub fn watch_ended(&mut self, now: Timestamp, last_received_at: Option<Timestamp>) {
+    /// Returns since when the list is unconfirmed, if it was not before.
+    pub fn watch_ended(
+        &mut self,
+        now: Timestamp,
+        last_received_at: Option<Timestamp>,
+    ) -> Option<Timestamp> {
         self.failures += 1;
-        let since = last_received_at.unwrap_or(now);
-        self.unconfirmed_since.get_or_insert(since);
+        self.set_unconfirmed(last_received_at.unwrap_or(now))
+    }
+
+    /// Records that the open watch, if there is one, was replaced by a call for another. Returns since when the list is
+    /// unconfirmed, if it was not before.
+    pub fn watch_replaced(&mut self, now: Timestamp) -> Option<Timestamp> {
+        self.set_unconfirmed(now)
+    }
+
+    fn set_unconfirmed(&mut self, since: Timestamp) -> Option<Timestamp> {
+        if self.unconfirmed_since.is_some() {
+            return None;
+        }
+        self.unconfirmed_since = Some(since);
+        self.unconfirmed_since
     }
 
     /// Returns for how long no watch has shown the list to be current; zero while one does.
--- a/src/sidecar/node/state.rs
+++ b/src/sidecar/node/state.rs
@@ -275,9 +275,11 @@
 
     /// Writes the metrics, one a line.
     pub fn write_metrics(&self, text: &mut String) {
+        let status = self.balancer_status();
         let members = MemberCounts {
             listed: self.endpoints.len(),
-            unavailable: self.balancer_status().unavailable,
+            unavailable: status.unavailable,
+            suspended: status.suspended,
         };
         self.metrics.write(&members, &self.list_metrics(), text);
     }
--- a/src/sidecar/report.rs
+++ b/src/sidecar/report.rs
@@ -36,11 +36,12 @@
         discarding,
         current_states,
         unavailable,
+        suspended,
     } = status;
     log!(
         "counts {counters}; now pending={pending} queued={queued} in_flight={in_flight} callers={callers} \
          connections={endpoints} clear={clear} gapping={gapping} discarding={discarding} \
-         current_states={current_states} unavailable={unavailable} list_version={version} \
+         current_states={current_states} unavailable={unavailable} suspended={suspended} list_version={version} \
          list_unconfirmed_ms={unconfirmed}",
         callers = connections.callers,
         endpoints = connections.endpoints,
--- a/src/sidecar/sockets.rs
+++ b/src/sidecar/sockets.rs
@@ -63,10 +63,24 @@
     peek(stream).is_ok_and(|count| count > 0)
 }
 
-/// Returns whether the peer has not closed the connection and no received bytes are unread. It asks the kernel, as the
-/// runtime is notified later.
-pub fn is_open_without_unread(stream: &TcpStream) -> bool {
-    peek(stream).is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+/// The state of a connection's receiving side.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SocketState {
+    /// The peer has not closed the connection, and no received bytes are unread.
+    OpenWithoutUnread,
+    /// The peer has reset the connection.
+    Reset,
+    /// The peer has closed the connection, or received bytes are unread.
+    ClosedOrUnread,
+}
+
+/// Returns the state of a connection's receiving side. It asks the kernel, as the runtime is notified later.
+pub fn state(stream: &TcpStream) -> SocketState {
+    match peek(stream).map_err(|error| error.kind()) {
+        Err(io::ErrorKind::WouldBlock) => SocketState::OpenWithoutUnread,
+        Err(io::ErrorKind::ConnectionReset) => SocketState::Reset,
+        _ => SocketState::ClosedOrUnread,
+    }
 }
 
 fn peek(stream: &TcpStream) -> io::Result<usize> {
--- a/tests/policy/legal_model.rs
+++ b/tests/policy/legal_model.rs
@@ -97,6 +97,11 @@
                 self.readiness_changes(endpoint, Readiness::Serving);
             }
             Step::DiscoveryFails => self.handle(Event::DiscoveryFailed),
+            Step::ListIsConfirmed => self.handle(Event::ListConfirmed),
+            Step::ListIsUnconfirmed => self.handle(Event::ListUnconfirmed { since: self.now }),
+            Step::ProcessEnds { endpoint } => self.handle(Event::ProcessEnded {
+                endpoint: format!("e{endpoint}").as_str().into(),
+            }),
             Step::BalancerRestarts => self.restart_balancer(),
             Step::TimePasses { ms: passed } => self.run_to(self.now + ms(passed)),
         }
--- a/tests/policy/legal_step.rs
+++ b/tests/policy/legal_step.rs
@@ -31,6 +31,11 @@
         endpoint: usize,
     },
     DiscoveryFails,
+    ListIsConfirmed,
+    ListIsUnconfirmed,
+    ProcessEnds {
+        endpoint: usize,
+    },
     BalancerRestarts,
     TimePasses {
         ms: u64,
@@ -49,6 +54,9 @@
         1 => (0..6usize).prop_map(|missing| Step::FullListArrives { missing }),
         1 => (0..6usize).prop_map(|endpoint| Step::EndpointRestarts { endpoint }),
         1 => Just(Step::DiscoveryFails),
+        1 => Just(Step::ListIsConfirmed),
+        1 => Just(Step::ListIsUnconfirmed),
+        1 => (0..6usize).prop_map(|endpoint| Step::ProcessEnds { endpoint }),
         1 => Just(Step::BalancerRestarts),
         5 => (0..300u64).prop_map(|ms| Step::TimePasses { ms }),
     ];
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -21,4 +21,5 @@
 mod slow_start;
 mod slow_start_fleet;
 mod subset;
+mod suspension;
 mod warming_tier;
--- a/tests/sidecar/crowded_discovery.rs
+++ b/tests/sidecar/crowded_discovery.rs
@@ -22,8 +22,8 @@
 }
 
 impl Fixture {
-    fn start(mode: &str) -> Self {
-        let restartable = RestartableEndpoint::start();
+    fn start(mode: &str, after_response: AfterResponse) -> Self {
+        let restartable = RestartableEndpoint::start(after_response);
         let others = Endpoint::start(|_| respond_ok(""));
         let discovery = ManualDiscovery::start();
         let mut cached_entries = vec![entry("e0", restartable.address, "SERVING")];
@@ -101,11 +101,11 @@
 }
 
 /// Guards against sends to a removed endpoint while discovery is crowded: once an endpoint has refused a connection, a process
-/// at its address is another one, of which the old list says nothing.
+/// at its address is another one, of which the old list says nothing. No connection is idle, so the refusal is all that shows its end.
 #[test]
 fn endpoint_that_refused_a_connection_gets_no_request_until_the_list_is_current() {
     in_each_mode(|mode| {
-        let mut fixture = Fixture::start(mode);
+        let mut fixture = Fixture::start(mode, AfterResponse::Close);
         fixture.use_restartable_endpoint();
         fixture.restartable.end();
         let mut client = fixture.sidecar.client();
@@ -128,7 +128,7 @@
 #[test]
 fn endpoint_that_reset_idle_connections_gets_no_request_until_the_list_is_current() {
     in_each_mode(|mode| {
-        let mut fixture = Fixture::start(mode);
+        let mut fixture = Fixture::start(mode, AfterResponse::KeepOpen);
         fixture.use_restartable_endpoint();
         fixture.restartable.end();
         fixture.restartable.start_again();
--- a/tests/sidecar/stubs/restartable_endpoint.rs
+++ b/tests/sidecar/stubs/restartable_endpoint.rs
@@ -16,9 +16,17 @@
 /// refused.
 pub struct RestartableEndpoint {
     pub address: SocketAddr,
+    after_response: AfterResponse,
     process: Option<EndpointProcess>,
 }
 
+/// What becomes of a connection after a response.
+#[derive(Clone, Copy, PartialEq)]
+pub enum AfterResponse {
+    KeepOpen,
+    Close,
+}
+
 /// What stands in for one process of the endpoint.
 struct EndpointProcess {
     state: Arc<ProcessState>,
@@ -32,11 +40,12 @@
 }
 
 impl RestartableEndpoint {
-    pub fn start() -> Self {
+    pub fn start(after_response: AfterResponse) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         RestartableEndpoint {
             address: listener.local_addr().expect("an address"),
-            process: Some(EndpointProcess::start(listener)),
+            after_response,
+            process: Some(EndpointProcess::start(listener, after_response)),
         }
     }
 
@@ -51,7 +60,7 @@
     pub fn start_again(&mut self) {
         assert!(self.process.is_none(), "it has ended");
         let listener = TcpListener::bind(self.address).expect("the port is free");
-        self.process = Some(EndpointProcess::start(listener));
+        self.process = Some(EndpointProcess::start(listener, self.after_response));
     }
 
     /// Returns how many requests the present process has received.
@@ -62,17 +71,21 @@
 }
 
 impl EndpointProcess {
-    fn start(listener: TcpListener) -> Self {
+    fn start(listener: TcpListener, after_response: AfterResponse) -> Self {
         let state = Arc::<ProcessState>::default();
         let accepting = {
             let state = state.clone();
-            thread::spawn(move || accept_until_ended(&listener, &state))
+            thread::spawn(move || accept_until_ended(&listener, &state, after_response))
         };
         EndpointProcess { state, accepting }
     }
 }
 
-fn accept_until_ended(listener: &TcpListener, state: &Arc<ProcessState>) {
+fn accept_until_ended(
+    listener: &TcpListener,
+    state: &Arc<ProcessState>,
+    after_response: AfterResponse,
+) {
     listener.set_nonblocking(true).expect("an option");
     let mut connections = Vec::new();
     while !state.has_ended.load(Ordering::SeqCst) {
@@ -81,7 +94,9 @@
             continue;
         };
         let state = state.clone();
-        connections.push(thread::spawn(move || serve_until_ended(stream, &state)));
+        connections.push(thread::spawn(move || {
+            serve_until_ended(stream, &state, after_response);
+        }));
     }
     for connection in connections {
         connection.join().expect("it ends");
@@ -89,7 +104,7 @@
 }
 
 /// Answers the requests on a connection, and resets it when the process ends.
-fn serve_until_ended(stream: TcpStream, state: &ProcessState) {
+fn serve_until_ended(stream: TcpStream, state: &ProcessState, after_response: AfterResponse) {
     stream.set_nonblocking(false).expect("an option");
     SockRef::from(&stream)
         .set_linger(Some(Duration::ZERO))
@@ -101,7 +116,12 @@
         }
         state.requests.fetch_add(1, Ordering::SeqCst);
         let response = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-        if reader.get_mut().write_all(response).is_err() {
+        let is_written = reader.get_mut().write_all(response).is_ok();
+        if is_written && after_response == AfterResponse::Close {
+            let linger = SockRef::from(reader.get_ref()).set_linger(None);
+            return linger.expect("an option");
+        }
+        if !is_written {
             return;
         }
     }
