Call a crowded discovery more often the older the list is, and yield to others

Cause: a crowded discovery answers calls in order of arrival and rejects (503) what waits too long, so that a sidecar's share is its rate of calls. The delay doubled with each rejection, up to 5 s between two calls, and started over at 0.5 s with each opened watch: those that had just been served called again at once when their watch ended, those that had been rejected for long fell behind for good. With thousands of endpoints a full list takes discovery so long that it is crowded by the ordinary changes of a release. Change: after a rejection the mean delay is a fourth of the time left to become current, from 1 s down to 0.2 s, and does not grow with the failures; after a lost watch the delay is as long as the last catching up took, 3 s at most, if that is longer than the backoff. Failures to reach discovery keep their backoff. DiscoveryRejected is an event of its own.

--- a/fleet-lab/src/sidecar/simulated/sidecar/discovery.rs
+++ b/fleet-lab/src/sidecar/simulated/sidecar/discovery.rs
@@ -2,7 +2,9 @@
 
 use super::super::pending_calls;
 use super::{Incarnation, SidecarHandle, SimulatedSidecar};
-use balancer_sidecar::discovery::{EndpointList, ListConsumer, ListOrigin, Source, StaleListError};
+use balancer_sidecar::discovery::{
+    DiscoveryFailure, EndpointList, ListConsumer, ListOrigin, Source, StaleListError,
+};
 use balancer_sidecar::policy::{Event, ListKind};
 use std::fmt;
 use std::sync::Arc;
@@ -85,12 +87,15 @@
     }
 
     /// Forwards a failure, except that of a discovery which the sidecar no longer uses.
-    fn discovery_failed(&self, source: Source) {
+    fn discovery_failed(&self, source: Source, failure: DiscoveryFailure) {
         let mut sidecar = self.borrow();
         if source == sidecar.subscription.source() {
             sidecar.subscription.stop_watch();
             drop(sidecar);
-            self.handle_event(Event::DiscoveryFailed);
+            self.handle_event(match failure {
+                DiscoveryFailure::Rejected => Event::DiscoveryRejected,
+                DiscoveryFailure::Lost => Event::DiscoveryFailed,
+            });
         }
     }
 
--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -1,7 +1,7 @@
 //! Fetches of the endpoint list and watches on its changes, each on a connection of its own.
 
 use super::backoff::Backoff;
-use super::consumer::ListConsumer;
+use super::consumer::{DiscoveryFailure, ListConsumer};
 use super::error::DiscoveryError;
 use super::hedged_call::fetch_with_hedging;
 use super::list::EndpointList;
@@ -30,7 +30,7 @@
     let end = run_watch(&consumer, source, known_version, &mut backoff).await;
     consumer.watch_ended(source, end.last_received_at());
     consumer.log(format_args!("the watch on discovery ended: {end}"));
-    consumer.discovery_failed(source);
+    consumer.discovery_failed(source, end.failure());
 }
 
 /// Watches an agent that pushes lists, and reopens the watch with backoff whenever it fails.
@@ -66,7 +66,7 @@
     if let Err(error) = received {
         consumer.fetch_failed(source);
         consumer.log(format_args!("the fetch from discovery failed: {error}"));
-        consumer.discovery_failed(source);
+        consumer.discovery_failed(source, error.failure_of_call());
     }
 }
 
@@ -119,6 +119,14 @@
 }
 
 impl WatchEnd {
+    /// Returns what the failure says of the next call.
+    fn failure(&self) -> DiscoveryFailure {
+        match self.stage {
+            WatchStage::Opening { .. } => self.error.failure_of_call(),
+            WatchStage::Open { .. } => DiscoveryFailure::Lost,
+        }
+    }
+
     /// Returns when something was last received on the watch, if it was open.
     fn last_received_at(&self) -> Option<Instant> {
         match self.stage {
--- a/src/discovery/consumer.rs
+++ b/src/discovery/consumer.rs
@@ -6,6 +6,15 @@
 use std::fmt;
 use tokio::time::Instant;
 
+/// How discovery failed, as far as the next call depends on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiscoveryFailure {
+    /// It was reached and rejected the call.
+    Rejected,
+    /// It could not be reached, or an open watch was lost.
+    Lost,
+}
+
 /// Receives what the discovery client learns.
 ///
 /// The client calls it from tasks on the current thread, and each call names the source that it concerns: a reload may
@@ -25,7 +34,7 @@
 
     /// Notes that a call failed or a watch was lost, so that the decision module schedules the next call. It is not used
     /// for agents, which the client follows without the module.
-    fn discovery_failed(&self, source: Source);
+    fn discovery_failed(&self, source: Source, failure: DiscoveryFailure);
 
     /// Notes that the open watch has shown the list to be current: a list or a heartbeat was received on it.
     fn list_confirmed(&self, _source: Source) {}
--- a/src/discovery/error.rs
+++ b/src/discovery/error.rs
@@ -1,5 +1,6 @@
 //! Errors of the discovery client.
 
+use super::consumer::DiscoveryFailure;
 use hyper::StatusCode;
 use std::io;
 
@@ -39,3 +40,14 @@
     #[error(transparent)]
     StaleList(#[from] StaleListError),
 }
+
+impl DiscoveryError {
+    /// Returns what the failure of a call says of the next one. A crowded discovery answers with an error status or resets
+    /// the connection.
+    pub(super) fn failure_of_call(&self) -> DiscoveryFailure {
+        match self {
+            DiscoveryError::Status(_) | DiscoveryError::Http(_) => DiscoveryFailure::Rejected,
+            _ => DiscoveryFailure::Lost,
+        }
+    }
+}
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -52,7 +52,7 @@
 
 pub use backoff::Backoff;
 pub use client::fetch;
-pub use consumer::ListConsumer;
+pub use consumer::{DiscoveryFailure, ListConsumer};
 pub use error::StaleListError;
 pub use list::{EndpointList, EntryStatus, ListEntry};
 pub use membership::{ListUpdate, Member, Membership};
--- a/src/policy/discovery_calls.rs
+++ b/src/policy/discovery_calls.rs
@@ -2,7 +2,7 @@
 
 use super::balancer::Balancer;
 use super::time::{Timestamp, duration_from_seconds};
-use crate::backoff::ExponentialBackoff;
+use crate::backoff::{ExponentialBackoff, jitter_factor};
 use std::time::Duration;
 
 /// The longest time from a change of the list at a reachable discovery until the change is in force.
@@ -22,6 +22,17 @@
 /// The mean delay after the first failed call, as a fraction of the poll interval.
 const INITIAL_BACKOFF_FRACTION: f64 = 0.05;
 const MAX_DOUBLINGS: u32 = 4;
+/// The longest mean delay after a rejected call, while the list is fresh.
+const MAX_REJECTED_MEAN: Duration = Duration::from_secs(1);
+/// The shortest mean delay after a rejected call, once the list is about to be too old.
+const MIN_REJECTED_MEAN: Duration = Duration::from_millis(200);
+/// Calls that are to be made in the time that a rejected sidecar has left to become current.
+const CALLS_IN_REMAINING_TIME: u32 = 4;
+/// The longest additional delay before a lost watch is reopened at a crowded discovery. Most of
+/// [`CHANGE_PROPAGATION_DEADLINE`] is left then for calls that may be rejected.
+const MAX_YIELD: Duration = Duration::from_secs(3);
+/// The fraction of that delay that is random.
+const YIELD_JITTER: f64 = 0.5;
 /// A cached list is checked within this fraction of the poll interval.
 const CACHED_LIST_CHECK_FRACTION: f64 = 0.25;
 
@@ -44,6 +55,35 @@
             .saturating_sub(since_last_failure)
             .as_secs_f64();
         let delay = backoff.delay(schedule.failures_in_row, max_delay, self.random.unit());
+        let delay = match schedule.behind_since {
+            None => delay.max(self.yield_to_others()),
+            Some(_) => delay,
+        };
+        self.schedule_call(now, delay);
+        self.discovery_schedule.behind_since = Some(now);
+    }
+
+    /// Returns how long a balancer that was current until now leaves discovery to those that are not: the longer it took
+    /// to become current the last time, the more of them there are.
+    fn yield_to_others(&mut self) -> f64 {
+        let longest = self.discovery_schedule.catch_up_time.min(MAX_YIELD);
+        longest.as_secs_f64() * (1.0 - YIELD_JITTER * self.random.unit())
+    }
+
+    /// Delays the next call after a rejection. A crowded discovery serves those that call most often, so the delay is the
+    /// shorter the older the list is, instead of growing with each failure: otherwise balancers that were served lately
+    /// are served again, and those that were rejected for long fall behind for good.
+    pub(super) fn discovery_rejected(&mut self, now: Timestamp) {
+        let behind_since = *self.discovery_schedule.behind_since.get_or_insert(now);
+        let remaining = CHANGE_PROPAGATION_DEADLINE.saturating_sub(now.since(behind_since));
+        let mean =
+            (remaining / CALLS_IN_REMAINING_TIME).clamp(MIN_REJECTED_MEAN, MAX_REJECTED_MEAN);
+        let delay = mean.as_secs_f64() * jitter_factor(self.random.unit());
+        self.schedule_call(now, delay);
+    }
+
+    fn schedule_call(&mut self, now: Timestamp, delay: f64) {
+        let schedule = &mut self.discovery_schedule;
         schedule.next_call = Some(now + duration_from_seconds(delay));
         schedule.last_failure = now;
         schedule.failures_in_row = schedule.failures_in_row.saturating_add(1);
@@ -54,5 +94,6 @@
         let fraction = CACHED_LIST_CHECK_FRACTION * self.random.unit();
         let delay = self.settings.rules.poll_interval.mul_f64(fraction);
         self.discovery_schedule.next_call = Some(now + delay);
+        self.discovery_schedule.behind_since = Some(now);
     }
 }
--- a/src/policy/discovery_schedule.rs
+++ b/src/policy/discovery_schedule.rs
@@ -1,6 +1,7 @@
 //! The failed calls of discovery, and the next call. No decision is made here.
 
 use super::time::Timestamp;
+use std::time::Duration;
 
 /// When discovery was last called without success, and when it is called next.
 #[derive(Debug, Default)]
@@ -10,12 +11,19 @@
     /// When the last call failed; the next one, which the host may make by itself, begins after it.
     pub(super) last_failure: Timestamp,
     pub(super) failures_in_row: u32,
+    /// Since when the list has not been current although discovery could be reached; `None` while it is current.
+    pub(super) behind_since: Option<Timestamp>,
+    /// How long it took to be current again, the last time.
+    pub(super) catch_up_time: Duration,
 }
 
 impl DiscoverySchedule {
     /// Resets the failures after a successful call.
-    pub(super) fn succeeded(&mut self) {
+    pub(super) fn succeeded(&mut self, now: Timestamp) {
         self.failures_in_row = 0;
+        if let Some(behind_since) = self.behind_since.take() {
+            self.catch_up_time = now.since(behind_since);
+        }
     }
 
     /// Returns whether the next call is due, and removes it if it is.
--- a/src/policy/event.rs
+++ b/src/policy/event.rs
@@ -149,6 +149,8 @@
     },
     /// A call of discovery failed, or the watch was lost.
     DiscoveryFailed,
+    /// Discovery was reached and rejected a call, as it has too many.
+    DiscoveryRejected,
     /// The list is current: something was received on an open watch after a time without one.
     ListConfirmed,
     /// No watch shows the list to be current any more.
--- a/src/policy/event_handler.rs
+++ b/src/policy/event_handler.rs
@@ -23,6 +23,7 @@
                 self.update_endpoints(now, kind, &entries, actions);
             }
             Event::DiscoveryFailed => self.discovery_failed(now),
+            Event::DiscoveryRejected => self.discovery_rejected(now),
             Event::ListConfirmed => self.list_confirmed(now, actions),
             Event::ListUnconfirmed { since } => self.list_unconfirmed(now, since, actions),
             Event::ProcessEnded { endpoint } => self.process_ended(now, &endpoint, actions),
--- a/src/policy/membership.rs
+++ b/src/policy/membership.rs
@@ -23,7 +23,7 @@
         entries: &[EndpointEntry],
         actions: &mut Vec<Action>,
     ) {
-        self.discovery_schedule.succeeded();
+        self.discovery_schedule.succeeded(now);
         if kind == ListKind::Cached {
             self.list_unconfirmed(now, now, actions);
             if self.settings.discovery == DiscoveryMode::OnRequest {
--- a/src/sidecar/node/discovery.rs
+++ b/src/sidecar/node/discovery.rs
@@ -2,7 +2,7 @@
 
 use super::state::{Node, NodeHandle};
 use crate::discovery::{
-    EndpointList, EntryStatus, ListConsumer, ListOrigin, Source, StaleListError,
+    DiscoveryFailure, EndpointList, EntryStatus, ListConsumer, ListOrigin, Source, StaleListError,
 };
 use crate::policy::{DiscoveryMode, Event, ListKind};
 use std::fmt;
@@ -129,14 +129,17 @@
     }
 
     /// A failure of the previous source is ignored: it was to be expected after the move.
-    fn discovery_failed(&self, source: Source) {
+    fn discovery_failed(&self, source: Source, failure: DiscoveryFailure) {
         let mut node = self.borrow();
         if source != node.endpoints.source() {
             return;
         }
         node.endpoints.stop_watch();
         drop(node);
-        self.handle(Event::DiscoveryFailed);
+        self.handle(match failure {
+            DiscoveryFailure::Rejected => Event::DiscoveryRejected,
+            DiscoveryFailure::Lost => Event::DiscoveryFailed,
+        });
     }
 
     /// Not logged for an agent, which sends nothing while discovery is down.
--- a/tests/policy/discovery_calls.rs
+++ b/tests/policy/discovery_calls.rs
@@ -142,3 +142,90 @@
         );
     }
 }
+
+/// How long a rejected call waits at a crowded discovery.
+const WAIT_OF_REJECTED_CALL: Duration = Duration::from_secs(1);
+
+/// A host whose list was confirmed and whose watch is lost, with the actions that followed.
+fn host_that_lost_its_watch(seed: u64) -> (Host, Vec<Action>) {
+    let settings = Settings {
+        discovery: DiscoveryMode::OnRequest,
+        ..default_settings()
+    };
+    let mut host = Host::new(settings.clone(), endpoint_entries(1));
+    host.balancer = Balancer::new(settings, seed).expect("valid settings");
+    host.apply_list(ListKind::Full, endpoint_entries(1));
+    let actions = host.discovery_failed();
+    (host, actions)
+}
+
+/// Waits for the next call and returns the time until it begins.
+fn wait_for_call(host: &mut Host, actions: &[Action]) -> Duration {
+    let (begins_at, token) = *set_timers(actions)
+        .last()
+        .expect("a timer for the next call");
+    let delay = begins_at.since(host.now);
+    host.now = begins_at;
+    let actions = host.handle(Event::Timer { token });
+    assert!(actions.contains(&Action::Subscribe));
+    delay
+}
+
+/// Has the outstanding call rejected, and returns the actions.
+fn reject_call(host: &mut Host) -> Vec<Action> {
+    host.now = host.now + WAIT_OF_REJECTED_CALL;
+    host.handle(Event::DiscoveryRejected)
+}
+
+/// Guards against starvation at a crowded discovery: it serves those that call most often, so a balancer must not call less
+/// often the longer it has been rejected. Formerly each rejection doubled the delay.
+#[test]
+fn rejected_calls_are_repeated_the_sooner_the_older_the_list_is() {
+    const SEEDS: u64 = 50;
+    let mut total_of_delays = [Duration::ZERO; 10];
+    for seed in 0..SEEDS {
+        let (mut host, mut actions) = host_that_lost_its_watch(seed);
+        wait_for_call(&mut host, &actions);
+        for total in &mut total_of_delays {
+            actions = reject_call(&mut host);
+            *total += wait_for_call(&mut host, &actions);
+        }
+    }
+    let last = total_of_delays.len() - 1;
+    assert!(
+        3 * total_of_delays[last] < total_of_delays[0],
+        "{total_of_delays:?}"
+    );
+    let mean_of_last = total_of_delays[last].as_secs_f64() / SEEDS as f64;
+    assert!(mean_of_last < 0.5, "{mean_of_last} s");
+}
+
+/// Guards the balancers that a crowded discovery has not served yet: one that took long to become current leaves it to them
+/// for a while when its watch is lost again, but keeps more than half of the time in which it has to be current.
+#[test]
+fn lost_watch_is_reopened_later_after_a_slow_catch_up() {
+    for seed in 0..50 {
+        let (mut host, mut actions) = host_that_lost_its_watch(seed);
+        let after_quick_catch_up = wait_for_call(&mut host, &actions);
+        for _ in 0..5 {
+            actions = reject_call(&mut host);
+            wait_for_call(&mut host, &actions);
+        }
+        host.apply_list(ListKind::Full, endpoint_entries(1));
+
+        host.now = host.now + ms(1_000);
+        actions = host.discovery_failed();
+        let after_slow_catch_up = wait_for_call(&mut host, &actions);
+        assert!(after_quick_catch_up < ms(1_000), "{after_quick_catch_up:?}");
+        assert!(
+            after_slow_catch_up >= ms(1_500)
+                && 2 * after_slow_catch_up <= CHANGE_PROPAGATION_DEADLINE,
+            "seed {seed}: {after_slow_catch_up:?}"
+        );
+
+        host.apply_list(ListKind::Full, endpoint_entries(1));
+        actions = host.discovery_failed();
+        let next = wait_for_call(&mut host, &actions);
+        assert!(next <= after_slow_catch_up, "seed {seed}: {next:?}");
+    }
+}
