Parse each endpoint list once, however many pieces it comes in

What callers would see: no answer for seconds, while the sidecar takes a long list; found while hypotheses for the incident were tested. Cause: each piece of a list that held a closing brace had the decoder parse the list from its beginning again, which takes time by the square of its length. With 200 endpoints that is nothing, with thousands it holds up the one thread. Change: a scanner finds the end of each object, each byte once, and the list is parsed then. It notices a list that broke off by the order of the tokens, with the next list at the latest. A line feed within a string is an error at once. Why it works: the work is linear in the bytes.

--- a/src/discovery/error.rs
+++ b/src/discovery/error.rs
@@ -1,6 +1,7 @@
 //! Errors of the discovery client.
 
 use super::consumer::DiscoveryFailure;
+use super::list_scanner::NotAnObject;
 use hyper::StatusCode;
 use std::io;
 
@@ -33,6 +34,9 @@
     /// A message is not an endpoint list.
     #[error("malformed list: {0}")]
     Json(#[from] serde_json::Error),
+    /// The stream is not a sequence of lists.
+    #[error(transparent)]
+    NotAnObject(#[from] NotAnObject),
     /// A message exceeds the maximum size of a list.
     #[error("the list exceeds the maximum size")]
     TooLong,
--- a/src/discovery/list_decoder.rs
+++ b/src/discovery/list_decoder.rs
@@ -2,16 +2,22 @@
 
 use super::error::{DiscoveryError, StaleListError};
 use super::list::EndpointList;
+use super::list_scanner::{ListScanner, ScannedByte};
 use bytes::{Buf, BytesMut};
 
-/// The maximum size of a list in bytes, about fifty times that of the largest fleet's list.
+/// The maximum size of a list in bytes, several times that of the largest fleet's list.
 pub(super) const MAX_LIST_BYTES: usize = 4 << 20;
 
-/// Decodes a stream of JSON lists, however they are split into lines and chunks.
+/// Decodes a stream of JSON lists, however they are split into lines and chunks. Each byte is scanned once and each list
+/// is parsed once, so that a long list in many small chunks costs no more than one in a few.
 #[derive(Debug, Default)]
 pub(super) struct ListDecoder {
     /// The beginning of a list whose end has not been received.
     incomplete: BytesMut,
+    scanner: ListScanner,
+    /// How often a list was parsed.
+    #[cfg(test)]
+    pub(super) parses: usize,
 }
 
 /// What a chunk has added.
@@ -19,7 +25,9 @@
 pub(super) enum Progress {
     /// A list was completed, or no list is incomplete and the chunk is a heartbeat.
     Alive,
-    /// A list is incomplete and the chunk did not complete any.
+    /// A list is incomplete, and the chunk is a part of it.
+    Partial,
+    /// A list is incomplete, and the chunk added nothing to it.
     Incomplete,
 }
 
@@ -32,43 +40,46 @@
     pub(super) fn decode(
         &mut self,
         chunk: &[u8],
-        receive: impl FnMut(EndpointList) -> Result<(), StaleListError>,
+        mut receive: impl FnMut(EndpointList) -> Result<(), StaleListError>,
     ) -> Result<Progress, DiscoveryError> {
-        self.incomplete.extend_from_slice(chunk);
-        // Only a closing brace can complete a list; without one, parsing the incomplete list again would be in vain.
-        let decoded_bytes = if chunk.contains(&b'}') {
-            self.decode_lists(receive)?
-        } else {
-            0
-        };
-        self.incomplete.advance(decoded_bytes);
-        if self.incomplete.iter().all(u8::is_ascii_whitespace) {
-            self.incomplete.clear();
+        let mut has_completed_list = false;
+        let mut has_content = false;
+        let mut unread_from = 0;
+        for (position, byte) in chunk.iter().enumerate() {
+            match self.scanner.scan(*byte)? {
+                ScannedByte::Between => unread_from = position + 1,
+                ScannedByte::Whitespace => {}
+                ScannedByte::Content => has_content = true,
+                ScannedByte::End => {
+                    self.incomplete
+                        .extend_from_slice(&chunk[unread_from..=position]);
+                    unread_from = position + 1;
+                    receive(self.parse_list()?)?;
+                    has_completed_list = true;
+                }
+            }
         }
+        self.incomplete.extend_from_slice(&chunk[unread_from..]);
         if self.incomplete.len() > MAX_LIST_BYTES {
             return Err(DiscoveryError::TooLong);
         }
-        if decoded_bytes > 0 || self.incomplete.is_empty() {
-            Ok(Progress::Alive)
+        Ok(if has_completed_list || self.incomplete.is_empty() {
+            Progress::Alive
+        } else if has_content {
+            Progress::Partial
         } else {
-            Ok(Progress::Incomplete)
-        }
+            Progress::Incomplete
+        })
     }
 
-    /// Decodes the complete lists and returns their length in bytes.
-    fn decode_lists(
-        &self,
-        mut receive: impl FnMut(EndpointList) -> Result<(), StaleListError>,
-    ) -> Result<usize, DiscoveryError> {
-        let mut lists = serde_json::Deserializer::from_slice(&self.incomplete).into_iter();
-        let mut decoded_bytes = 0;
-        while let Some(list) = lists.next() {
-            match list {
-                Err(error) if error.is_eof() => break,
-                list => receive(list?)?,
-            }
-            decoded_bytes = lists.byte_offset();
+    /// Parses the list that has been received completely.
+    fn parse_list(&mut self) -> Result<EndpointList, DiscoveryError> {
+        #[cfg(test)]
+        {
+            self.parses += 1;
         }
-        Ok(decoded_bytes)
+        let list = serde_json::from_slice(&self.incomplete);
+        self.incomplete.advance(self.incomplete.len());
+        Ok(list?)
     }
 }
--- a/src/discovery/list_decoder_tests.rs
+++ b/src/discovery/list_decoder_tests.rs
@@ -44,6 +44,69 @@
     assert_eq!(progress.expect("well-formed"), Progress::Incomplete);
 }
 
+/// Guards long lists that arrive slowly: each part of one is progress, though it completes nothing.
+#[test]
+fn part_of_an_incomplete_list_is_progress() {
+    let mut decoder = ListDecoder::default();
+    for part in ["{\"index\":1,", "\"snapshot\":", "true,\"endpoints\":["] {
+        let (versions, progress) = decode(&mut decoder, part);
+        assert!(versions.is_empty());
+        assert_eq!(progress.expect("well-formed"), Progress::Partial, "{part}");
+    }
+    assert_eq!(decode(&mut decoder, "]}").0, [1]);
+}
+
+/// Guards the processor against lists of thousands of endpoints in small pieces: each list is parsed once, and not anew with
+/// each piece, which took time by the square of its length.
+#[test]
+fn long_list_in_small_pieces_is_parsed_once() {
+    let entry = "{\"name\":\"a\",\"address\":\"127.0.0.1:1\",\"zone\":\"a\",\"type\":\"m\",\
+                 \"group\":0,\"status\":\"SERVING\",\"weight\":1.0,\"since_ms\":0}";
+    let entries = [entry; 200].join(",");
+    let list = format!("{{\"index\":1,\"snapshot\":true,\"endpoints\":[{entries}]}}\n");
+    let mut decoder = ListDecoder::default();
+    for piece in list.as_bytes().chunks(64) {
+        let text = std::str::from_utf8(piece).expect("ASCII");
+        decode(&mut decoder, text).1.expect("well-formed");
+    }
+    assert_eq!(decoder.parses, 1);
+}
+
+/// Guards every way to split a stream, with brackets and quotes in strings: the lists are the same.
+#[test]
+fn lists_do_not_depend_on_how_the_stream_is_split() {
+    let entry = "{\"name\":\"a}]\\\"{[\",\"address\":\"127.0.0.1:1\",\"zone\":\"\\\\\",\"type\":\"m\",\
+                 \"group\":0,\"status\":\"SERVING\",\"weight\":1.5,\"since_ms\":0}";
+    let list = format!("{{\"index\":3 ,\n \"snapshot\": true,\"endpoints\":[{entry}, {entry}]}}");
+    let stream = format!("\n{FIRST_LIST}{list}\r\n{SECOND_LIST}");
+    for chunk_bytes in 1..stream.len() {
+        let mut decoder = ListDecoder::default();
+        let mut versions = Vec::new();
+        for chunk in stream.as_bytes().chunks(chunk_bytes) {
+            let text = std::str::from_utf8(chunk).expect("ASCII");
+            let (received, progress) = decode(&mut decoder, text);
+            progress.expect("well-formed");
+            versions.extend(received);
+        }
+        assert_eq!(versions, [1, 3, 2], "{chunk_bytes} bytes a chunk");
+    }
+}
+
+/// Guards against a list that broke off and is followed by another one: wherever it broke off, that is noticed with the
+/// list after that at the latest.
+#[test]
+fn list_that_broke_off_is_noticed() {
+    let list = "{\"index\":1,\"snapshot\":true,\"endpoints\":[{\"name\":\"a\",\"group\":12}]}";
+    for broken_off in 1..list.len() {
+        let mut decoder = ListDecoder::default();
+        let chunks = [&list[..broken_off], "\n", FIRST_LIST, SECOND_LIST];
+        let is_noticed = chunks
+            .iter()
+            .any(|chunk| decode(&mut decoder, chunk).1.is_err());
+        assert!(is_noticed, "{}", &list[..broken_off]);
+    }
+}
+
 /// Guards the lists before a malformed one: they count.
 #[test]
 fn lists_before_a_malformed_one_are_passed_on() {
--- /dev/null
+++ b/src/discovery/list_scanner.rs
@@ -0,0 +1,138 @@
+//! Finds where a JSON object ends in a stream, one byte at a time.
+
+/// Where a scanner is after a byte.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ScannedByte {
+    /// White space between two objects.
+    Between,
+    /// A byte within an object that adds to it, as white space between its values does not.
+    Content,
+    /// White space between the values of an object.
+    Whitespace,
+    /// The last byte of an object.
+    End,
+}
+
+/// The stream is not a sequence of JSON objects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("not a JSON object")]
+pub(super) struct NotAnObject;
+
+/// Scans a sequence of JSON objects.
+///
+/// It checks the order of brackets, strings and separators only as far as it shows that an object has broken off and the
+/// next one begins in the middle of it; a parser has to check each object as a whole.
+#[derive(Debug, Default)]
+pub(super) struct ListScanner {
+    depth: usize,
+    string: StringState,
+    last_token: Option<Token>,
+}
+
+/// Whether the scanner is within a string.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum StringState {
+    #[default]
+    Outside,
+    Inside,
+    /// After a backslash.
+    Escaped,
+}
+
+/// The last token outside a string.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Token {
+    OpeningBrace,
+    OpeningBracket,
+    /// A comma or a colon.
+    Separator,
+    /// A number or a name.
+    Literal,
+    /// The end of a string, an object or an array.
+    ValueEnd,
+}
+
+impl ListScanner {
+    /// Scans the next byte.
+    ///
+    /// # Errors
+    /// Returns [`NotAnObject`] if no sequence of objects goes on like this.
+    pub(super) fn scan(&mut self, byte: u8) -> Result<ScannedByte, NotAnObject> {
+        match self.string {
+            StringState::Outside => self.scan_outside_string(byte),
+            StringState::Escaped => {
+                self.string = StringState::Inside;
+                Ok(ScannedByte::Content)
+            }
+            StringState::Inside => self.scan_in_string(byte),
+        }
+    }
+
+    fn scan_in_string(&mut self, byte: u8) -> Result<ScannedByte, NotAnObject> {
+        match byte {
+            b'\\' => self.string = StringState::Escaped,
+            b'"' => {
+                self.string = StringState::Outside;
+                self.last_token = Some(Token::ValueEnd);
+            }
+            _ if byte.is_ascii_control() => return Err(NotAnObject),
+            _ => {}
+        }
+        Ok(ScannedByte::Content)
+    }
+
+    fn scan_outside_string(&mut self, byte: u8) -> Result<ScannedByte, NotAnObject> {
+        if byte.is_ascii_whitespace() {
+            return Ok(if self.depth == 0 {
+                ScannedByte::Between
+            } else {
+                ScannedByte::Whitespace
+            });
+        }
+        if self.depth == 0 && byte != b'{' {
+            return Err(NotAnObject);
+        }
+        match byte {
+            b'{' => self.open(Token::OpeningBrace)?,
+            b'[' => self.open(Token::OpeningBracket)?,
+            b'}' | b']' => {
+                self.depth -= 1;
+                self.last_token = Some(Token::ValueEnd);
+            }
+            b'"' if self.may_begin_string() => self.string = StringState::Inside,
+            b',' | b':' => self.last_token = Some(Token::Separator),
+            b'"' => return Err(NotAnObject),
+            _ if self.may_continue_literal() => self.last_token = Some(Token::Literal),
+            _ => return Err(NotAnObject),
+        }
+        Ok(if self.depth == 0 {
+            ScannedByte::End
+        } else {
+            ScannedByte::Content
+        })
+    }
+
+    fn open(&mut self, bracket: Token) -> Result<(), NotAnObject> {
+        if self.depth > 0 && !self.may_begin_value() {
+            return Err(NotAnObject);
+        }
+        self.depth += 1;
+        self.last_token = Some(bracket);
+        Ok(())
+    }
+
+    fn may_begin_value(&self) -> bool {
+        matches!(
+            self.last_token,
+            Some(Token::OpeningBracket | Token::Separator)
+        )
+    }
+
+    fn may_begin_string(&self) -> bool {
+        self.may_begin_value() || self.last_token == Some(Token::OpeningBrace)
+    }
+
+    fn may_continue_literal(&self) -> bool {
+        self.may_begin_value() || self.last_token == Some(Token::Literal)
+    }
+}
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -44,6 +44,7 @@
 mod list_decoder;
 #[cfg(test)]
 mod list_decoder_tests;
+mod list_scanner;
 mod membership;
 mod source;
 mod subscription;
