Receive a long endpoint list for as long as more of it comes

What callers would see: a sidecar that never gets its list, where a list of thousands of endpoints takes over 4.2 s to arrive. Cause: a fetched list had to be complete within the silence time-out of 4.2 s, and on a watch only a complete list put that time-out off. The sidecar closed the connection within a list that was still arriving and asked for all of it again, for ever. Change: each part of a list puts the time-out off, up to 30 s for one list; white space does not, as before.

--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -8,10 +8,10 @@
 use super::list_decoder::{ListDecoder, MAX_LIST_BYTES, Progress};
 use super::source::Source;
 use crate::policy::DISCOVERY_TIMEOUT;
-use http_body_util::{BodyExt, Limited};
+use bytes::BytesMut;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use std::convert::Infallible;
-use std::error::Error;
 use std::fmt;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout, timeout_at};
@@ -54,6 +54,9 @@
     }
 }
 
+/// The longest time that one list may take to arrive: a later answer would be newer.
+const MAX_LIST_TRANSFER: Duration = Duration::from_secs(30);
+
 /// Fetches the full list once, and reports a failure to the consumer.
 pub async fn fetch<C: ListConsumer>(consumer: C, source: Source) {
     let mut backoff = Backoff::new(consumer.jitter_seed());
@@ -77,19 +80,22 @@
 ) -> Result<EndpointList, DiscoveryError> {
     let on_hedge = || consumer.call_hedged(source);
     let body = fetch_with_hedging(source.address, LIST_PATH, backoff, on_hedge).await?;
-    let body = Limited::new(body, MAX_LIST_BYTES).collect();
-    let body = timeout(DISCOVERY_TIMEOUT, body)
-        .await?
-        .map_err(limited_body_error)?;
-    Ok(serde_json::from_slice(&body.to_bytes())?)
+    let body = timeout(MAX_LIST_TRANSFER, collect_list(body)).await??;
+    Ok(serde_json::from_slice(&body)?)
 }
 
-/// Converts the error of a [`Limited`] body: its connection broke, or it is too long.
-fn limited_body_error(error: Box<dyn Error + Send + Sync>) -> DiscoveryError {
-    match error.downcast::<hyper::Error>() {
-        Ok(error) => DiscoveryError::Http(*error),
-        Err(_) => DiscoveryError::TooLong,
+/// Receives the body of a full list, which must not be silent for [`DISCOVERY_TIMEOUT`].
+async fn collect_list(mut body: Incoming) -> Result<BytesMut, DiscoveryError> {
+    let mut list = BytesMut::new();
+    while let Some(frame) = timeout(DISCOVERY_TIMEOUT, body.frame()).await? {
+        if let Ok(chunk) = frame?.into_data() {
+            list.extend_from_slice(&chunk);
+        }
+        if list.len() > MAX_LIST_BYTES {
+            return Err(DiscoveryError::TooLong);
+        }
     }
+    Ok(list)
 }
 
 /// How a watch ended.
@@ -222,6 +228,8 @@
     lists: u64,
     /// When a list was completed or a heartbeat came; at first, when the watch was opened.
     last_received_at: Instant,
+    /// When the last part of an incomplete list came, if that was later.
+    last_part_at: Instant,
 }
 
 impl WatchEvents {
@@ -230,12 +238,14 @@
             decoder: ListDecoder::default(),
             lists: 0,
             last_received_at: opened_at,
+            last_part_at: opened_at,
         }
     }
 
     /// Receives the events of a watch until it fails, ends or is silent for [`DISCOVERY_TIMEOUT`].
     ///
-    /// Heartbeats count as silence while a list is incomplete, because its rest may never come.
+    /// Heartbeats count as silence while a list is incomplete, because its rest may never come. Parts of it do not, for
+    /// [`MAX_LIST_TRANSFER`].
     async fn receive<C: ListConsumer>(
         &mut self,
         consumer: &C,
@@ -243,8 +253,7 @@
         mut body: Incoming,
     ) -> Result<Infallible, DiscoveryError> {
         loop {
-            let silence_deadline = self.last_received_at + DISCOVERY_TIMEOUT;
-            let Some(frame) = timeout_at(silence_deadline, body.frame()).await? else {
+            let Some(frame) = timeout_at(self.silence_deadline(), body.frame()).await? else {
                 return Err(DiscoveryError::Closed);
             };
             let Ok(chunk) = frame?.into_data() else {
@@ -255,10 +264,20 @@
                 *lists += 1;
                 consumer.list_received(source, list)
             })?;
-            if progress == Progress::Alive {
-                self.last_received_at = Instant::now();
-                consumer.list_confirmed(source);
+            match progress {
+                Progress::Alive => {
+                    self.last_received_at = Instant::now();
+                    consumer.list_confirmed(source);
+                }
+                Progress::Partial => self.last_part_at = Instant::now(),
+                Progress::Incomplete => {}
             }
         }
     }
+
+    fn silence_deadline(&self) -> Instant {
+        let last_progress_at = self.last_received_at.max(self.last_part_at);
+        let latest = self.last_received_at + MAX_LIST_TRANSFER;
+        latest.min(last_progress_at + DISCOVERY_TIMEOUT)
+    }
 }
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -11,7 +11,8 @@
 //!   known, the client fetches the full list before it opens the watch.
 //!
 //! A watch is lost when its connection ends, an event is malformed or stale, or nothing is received for
-//! [`DISCOVERY_TIMEOUT`](crate::policy::DISCOVERY_TIMEOUT) (**silence time-out**). A new watch resumes from the last known
+//! [`DISCOVERY_TIMEOUT`](crate::policy::DISCOVERY_TIMEOUT) (**silence time-out**). A long list may take longer than that to
+//! arrive, as long as more of it comes. A new watch resumes from the last known
 //! version, so no change is missed (**resync**).
 //!
 //! # Hedging
--- a/tests/sidecar/discovery_watch.rs
+++ b/tests/sidecar/discovery_watch.rs
@@ -250,3 +250,69 @@
     });
     sidecar.wait_for_log("s, 1 lists)");
 }
+
+/// Entries of a fleet of the largest size.
+const LONG_LIST_ENTRIES: usize = 3_200;
+/// Pieces of a long list, and the pause between two. They come steadily, and take longer than a watch may be silent.
+const LONG_LIST_PIECES: usize = 7;
+const PAUSE_BETWEEN_PIECES: Duration = Duration::from_millis(900);
+
+/// Writes a text in pieces with pauses between them.
+fn write_slowly(text: &str, mut write: impl FnMut(&str)) {
+    let piece_bytes = text.len().div_ceil(LONG_LIST_PIECES);
+    for piece in text.as_bytes().chunks(piece_bytes) {
+        write(std::str::from_utf8(piece).expect("ASCII"));
+        std::thread::sleep(PAUSE_BETWEEN_PIECES);
+    }
+}
+
+fn long_list(endpoint: &Endpoint) -> String {
+    let names = (0..LONG_LIST_ENTRIES).map(|number| format!("e{number}"));
+    let entries: Vec<Value> = names
+        .map(|name| entry(&name, endpoint.address, "SERVING"))
+        .collect();
+    list(50, true, &entries)
+}
+
+/// Guards lists of thousands of endpoints: one that arrives slowly but steadily on a watch is received, and the watch is not
+/// given up and opened again, which would have discovery send all of it again.
+#[test]
+fn long_list_that_arrives_steadily_on_a_watch_is_received() {
+    let endpoint = Endpoint::start(|_| respond_ok(""));
+    let discovery = ManualDiscovery::start();
+    let sidecar = start_sidecar(&discovery, &[&endpoint]);
+    let mut watch = discovery.next_call();
+    watch.open_watch();
+
+    write_slowly(&long_list(&endpoint), |piece| watch.write_chunk(piece));
+
+    wait_until("the list is received", || {
+        sidecar.metric("members") == Some(LONG_LIST_ENTRIES as u64)
+    });
+    assert!(discovery.try_next_call().is_none(), "no other call is made");
+}
+
+/// Guards the same for a list that is fetched.
+#[test]
+fn long_list_that_arrives_steadily_on_a_fetch_is_received() {
+    let endpoint = Endpoint::start(|_| respond_ok(""));
+    let discovery = ManualDiscovery::start();
+    let mut config = with_admin_address(config(discovery.address(), &[]));
+    config.as_object_mut().expect("an object").remove("known");
+    let sidecar = Sidecar::start(&config);
+    let mut fetch = discovery.next_call();
+    assert!(fetch.is_fetch(), "{}", fetch.request_line);
+
+    let list = long_list(&endpoint);
+    fetch.write(&format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n",
+        list.len()
+    ));
+    write_slowly(&list, |piece| fetch.write(piece));
+
+    wait_until("the list is received", || {
+        sidecar.metric("members") == Some(LONG_LIST_ENTRIES as u64)
+    });
+    let next = discovery.next_call();
+    assert!(next.is_watch_since(50), "{}", next.request_line);
+}
