Under an overdue list, send only to processes that open connections show to be listed

Cause: an end that the sidecar does not see, as it had no connection to the endpoint and attempted none, left it with a listed address at which another process answers. With thousands of endpoints a sidecar has no connection to most of them. Change: a connection counts as known if it was opened while the list was current (or for 2 s after), or while another known one to the same process was open. Once the list is overdue - a change since it was current would have to be in force, 6 s and the grace for sends less 0.5 s, and discovery was reached - an attempt on any other connection is not written, and its endpoint is suspended until the list is confirmed. While discovery cannot be reached, the list stays in use. Lists that an agent pushes are never overdue here. Why it works: a process with an open connection runs; what could not be told from a new one is not used while the rule binds.

--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -78,7 +78,7 @@
     source: Source,
     backoff: &mut Backoff,
 ) -> Result<EndpointList, DiscoveryError> {
-    let on_hedge = || consumer.call_hedged(source);
+    let on_hedge = |is_reached| consumer.call_hedged(source, is_reached);
     let body = fetch_with_hedging(source.address, LIST_PATH, backoff, on_hedge).await?;
     let body = timeout(MAX_LIST_TRANSFER, collect_list(body)).await??;
     Ok(serde_json::from_slice(&body)?)
@@ -215,7 +215,7 @@
         }
     };
     let path = format!("{LIST_PATH}?follow=1&since={version}");
-    let on_hedge = || consumer.call_hedged(source);
+    let on_hedge = |is_reached| consumer.call_hedged(source, is_reached);
     let body = fetch_with_hedging(source.address, &path, backoff, on_hedge).await?;
     consumer.watch_opened(source);
     Ok(body)
--- a/src/discovery/consumer.rs
+++ b/src/discovery/consumer.rs
@@ -46,8 +46,9 @@
     /// Notes that a fetch of the full list failed. Only for consumers that count failures.
     fn fetch_failed(&self, _source: Source) {}
 
-    /// Notes that a call has no response yet and is hedged by another one. Only for consumers that count or log this.
-    fn call_hedged(&self, _source: Source) {}
+    /// Notes that a call has no response yet and is hedged by another one; `is_reached` says whether discovery has accepted
+    /// a connection.
+    fn call_hedged(&self, _source: Source, _is_reached: bool) {}
 
     /// Returns the seed of the jitter between calls. It must differ between the sidecars of a fleet.
     fn jitter_seed(&self) -> u64;
--- a/src/discovery/hedged_call.rs
+++ b/src/discovery/hedged_call.rs
@@ -35,7 +35,8 @@
 
 /// Sends a GET request to discovery and returns the body of the first successful response.
 ///
-/// While there is no response, a further call is made after each [`Backoff::hedge_delay`], and `on_hedge` is called.
+/// While there is no response, a further call is made after each [`Backoff::hedge_delay`], and `on_hedge` is called with
+/// whether discovery has accepted a connection.
 ///
 /// # Errors
 /// Returns the last error once all outstanding calls have failed.
@@ -43,7 +44,7 @@
     address: SocketAddr,
     path: &str,
     backoff: &mut Backoff,
-    on_hedge: impl Fn(),
+    on_hedge: impl Fn(bool),
 ) -> Result<Incoming, DiscoveryError> {
     let mut calls = OutstandingCalls::default();
     loop {
@@ -60,7 +61,7 @@
                 () = sleep_until(hedge_at) => break,
             }
         }
-        on_hedge();
+        on_hedge(calls.is_any_connected());
     }
 }
 
@@ -80,6 +81,11 @@
         self.0.is_empty()
     }
 
+    /// Returns whether discovery has accepted the connection of a call.
+    fn is_any_connected(&self) -> bool {
+        self.0.iter().any(|call| call.is_connected.get())
+    }
+
     /// Waits until one of the calls completes, and removes it.
     async fn next_response(&mut self) -> Result<Incoming, DiscoveryError> {
         poll_fn(|context| self.poll_response(context)).await
--- a/src/policy/discovery_calls.rs
+++ b/src/policy/discovery_calls.rs
@@ -61,6 +61,7 @@
         };
         self.schedule_call(now, delay);
         self.discovery_schedule.behind_since = Some(now);
+        self.discovery_schedule.is_reached = false;
     }
 
     /// Returns how long a balancer that was current until now leaves discovery to those that are not: the longer it took
@@ -74,7 +75,7 @@
     /// shorter the older the list is, instead of growing with each failure: otherwise balancers that were served lately
     /// are served again, and those that were rejected for long fall behind for good.
     pub(super) fn discovery_rejected(&mut self, now: Timestamp) {
-        let behind_since = *self.discovery_schedule.behind_since.get_or_insert(now);
+        let behind_since = self.discovery_reached(now);
         let remaining = CHANGE_PROPAGATION_DEADLINE.saturating_sub(now.since(behind_since));
         let mean =
             (remaining / CALLS_IN_REMAINING_TIME).clamp(MIN_REJECTED_MEAN, MAX_REJECTED_MEAN);
@@ -82,6 +83,19 @@
         self.schedule_call(now, delay);
     }
 
+    /// Records that discovery has been reached. Returns since when the list has not been current although it could be reached:
+    /// before the first call that reached it, it may not have been.
+    pub(super) fn discovery_reached(&mut self, now: Timestamp) -> Timestamp {
+        let schedule = &mut self.discovery_schedule;
+        let behind_since = schedule.behind_since.get_or_insert(now);
+        if !std::mem::replace(&mut schedule.is_reached, true)
+            && now.since(*behind_since) > MAX_CALL_INTERVAL
+        {
+            *behind_since = now.minus(MAX_CALL_INTERVAL);
+        }
+        *behind_since
+    }
+
     fn schedule_call(&mut self, now: Timestamp, delay: f64) {
         let schedule = &mut self.discovery_schedule;
         schedule.next_call = Some(now + duration_from_seconds(delay));
--- a/src/policy/discovery_schedule.rs
+++ b/src/policy/discovery_schedule.rs
@@ -13,6 +13,8 @@
     pub(super) failures_in_row: u32,
     /// Since when the list has not been current although discovery could be reached; `None` while it is current.
     pub(super) behind_since: Option<Timestamp>,
+    /// Discovery has been reached since then.
+    pub(super) is_reached: bool,
     /// How long it took to be current again, the last time.
     pub(super) catch_up_time: Duration,
 }
@@ -21,6 +23,7 @@
     /// Resets the failures after a successful call.
     pub(super) fn succeeded(&mut self, now: Timestamp) {
         self.failures_in_row = 0;
+        self.is_reached = false;
         if let Some(behind_since) = self.behind_since.take() {
             self.catch_up_time = now.since(behind_since);
         }
--- a/src/policy/endpoint.rs
+++ b/src/policy/endpoint.rs
@@ -34,7 +34,9 @@
     pub(super) started_at: Option<Timestamp>,
     /// When its process was last seen to have ended, while the list still names that process.
     pub(super) ended_at: Option<Timestamp>,
-    /// It is sent nothing because its process has ended and the list may be old.
+    /// No connection showed that its process still runs, when the list was overdue.
+    pub(super) is_process_unknown: bool,
+    /// It is sent nothing because its process has ended or is not known, and the list may be old.
     pub(super) is_suspended: bool,
     /// When the operators last enabled it. It may have restarted while it was disabled, which the list shows late.
     pub(super) enabled_at: Option<Timestamp>,
@@ -81,6 +83,7 @@
             is_listed: false,
             started_at: entry.started_at,
             ended_at: None,
+            is_process_unknown: false,
             is_suspended: false,
             enabled_at: None,
             awaits_first_send: false,
@@ -125,6 +128,7 @@
     pub(super) fn restart(&mut self, started_at: Option<Timestamp>) {
         self.started_at = started_at;
         self.ended_at = None;
+        self.is_process_unknown = false;
         self.is_suspended = false;
         self.gapping_levels = 0;
         self.discarding_levels = 0;
@@ -134,6 +138,11 @@
         self.slow_start_slot = f64::INFINITY;
     }
 
+    /// Returns whether its process has ended or is not known.
+    pub(super) fn has_lost_process(&self) -> bool {
+        self.ended_at.is_some() || self.is_process_unknown
+    }
+
     /// Returns the recent failure rate of a class, or the highest of all classes.
     pub(super) fn failure_rate(
         &self,
--- a/src/policy/event.rs
+++ b/src/policy/event.rs
@@ -151,6 +151,8 @@
     DiscoveryFailed,
     /// Discovery was reached and rejected a call, as it has too many.
     DiscoveryRejected,
+    /// Discovery was reached and has not answered for long.
+    DiscoveryLate,
     /// The list is current: something was received on an open watch after a time without one.
     ListConfirmed,
     /// No watch shows the list to be current any more.
@@ -158,6 +160,11 @@
         /// When something was last received on a watch.
         since: Timestamp,
     },
+    /// The list is overdue, and no open connection shows that the process that it names at an endpoint still runs.
+    ProcessUnknown {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
     /// An endpoint refused a connection, or reset one that was idle: its process has ended, and what listens at its
     /// address from now on is another one.
     ProcessEnded {
--- a/src/policy/time.rs
+++ b/src/policy/time.rs
@@ -23,6 +23,13 @@
         self.0
     }
 
+    /// Returns the time this much earlier, or the clock's zero.
+    #[must_use]
+    pub fn minus(self, duration: Duration) -> Timestamp {
+        let nanos = u64::try_from(duration.as_nanos()).unwrap_or(u64::MAX);
+        Timestamp(self.0.saturating_sub(nanos))
+    }
+
     /// Returns the time since `earlier`, or zero if `earlier` is later.
     #[must_use]
     pub fn since(self, earlier: Timestamp) -> Duration {
--- a/src/sidecar/endpoint/attempt.rs
+++ b/src/sidecar/endpoint/attempt.rs
@@ -56,6 +56,10 @@
                     .return_connection(acquired.connection, &self.spec.target);
                 return AttemptResult::without_response(Outcome::NotSent);
             }
+            if self.host.requires_known_process() && !acquired.connection.reaches_known_process() {
+                self.host.process_unknown(&self.spec.target);
+                return AttemptResult::without_response(Outcome::NotSent);
+            }
             let written_before = acquired.connection.progress().bytes_written();
             let failure = match self.exchange(&mut acquired.connection, deadline).await {
                 Some(Ok(response)) => return self.with_response(response, acquired.connection),
--- a/src/sidecar/endpoint/connect.rs
+++ b/src/sidecar/endpoint/connect.rs
@@ -1,6 +1,6 @@
 //! New connections to endpoints.
 
-use super::connection::EndpointConnection;
+use super::connection::{EndpointConnection, OpenedConnection};
 use super::forwarded_request::Target;
 use super::host::EndpointHost;
 use super::write_progress::WriteProgress;
@@ -19,10 +19,17 @@
     let stream = TcpStream::connect(target.address).await?;
     stream.set_nodelay(true)?;
     let progress = WriteProgress::new(permit.attempts_written);
+    let known_process = host.known_process(target);
     let (host, target) = (host.clone(), target.clone());
     // The host may be in use while the reset is noticed.
     let on_idle_reset = move || drop(spawn_local(async move { host.process_ended(&target) }));
-    EndpointConnection::handshake(stream, progress, permit.descriptor, on_idle_reset).await
+    let connection = OpenedConnection {
+        stream,
+        progress,
+        descriptor: permit.descriptor,
+        known_process,
+    };
+    EndpointConnection::handshake(connection, on_idle_reset).await
 }
 
 /// Reports to the host that the endpoint's process has ended, if that is why a connection failed.
--- a/src/sidecar/endpoint/connection.rs
+++ b/src/sidecar/endpoint/connection.rs
@@ -1,5 +1,6 @@
 //! A connection to an endpoint.
 
+use super::known_processes::KnownProcess;
 use super::request_body::RequestBody;
 use super::response::{EndpointResponse, FramingError, check_framing};
 use super::write_progress::WriteProgress;
@@ -34,9 +35,22 @@
     stream: Rc<TcpStream>,
     progress: Rc<WriteProgress>,
     use_state: Rc<UseState>,
+    reaches_known_process: bool,
     _task: Task,
 }
 
+/// What a connection is made of.
+pub struct OpenedConnection {
+    /// The connected socket.
+    pub stream: TcpStream,
+    /// The progress of what is written to it.
+    pub progress: WriteProgress,
+    /// Its descriptor.
+    pub descriptor: DescriptorPermit,
+    /// Set if it is known to reach the process that the list names.
+    pub known_process: Option<KnownProcess>,
+}
+
 /// Whether a connection is in use, and what is to be done when it is reset while it is not.
 struct UseState {
     /// An exchange on it is complete, and no other one has begun.
@@ -85,12 +99,17 @@
     /// # Errors
     /// The handshake with hyper failed.
     pub async fn handshake(
-        stream: TcpStream,
-        progress: WriteProgress,
-        descriptor: DescriptorPermit,
+        connection: OpenedConnection,
         on_idle_reset: impl FnOnce() + 'static,
     ) -> io::Result<Self> {
+        let OpenedConnection {
+            stream,
+            progress,
+            descriptor,
+            known_process,
+        } = connection;
         let (stream, progress) = (Rc::new(stream), Rc::new(progress));
+        let reaches_known_process = known_process.is_some();
         let socket = ObservedSocket::new(stream.clone(), progress.clone());
         let mut builder = http1::Builder::new();
         let handshake = builder
@@ -107,13 +126,14 @@
             if connection.await.is_err_and(|error| is_reset(&error)) {
                 state_of_task.reset();
             }
-            drop(descriptor);
+            drop((descriptor, known_process));
         });
         Ok(EndpointConnection {
             sender,
             stream,
             progress,
             use_state,
+            reaches_known_process,
             _task: task,
         })
     }
@@ -160,6 +180,11 @@
         })
     }
 
+    /// Returns whether the connection is known to reach the process that the list names.
+    pub fn reaches_known_process(&self) -> bool {
+        self.reaches_known_process
+    }
+
     /// Returns whether the endpoint or hyper has closed the connection.
     pub fn is_closed(&self) -> bool {
         self.sender.is_closed()
--- a/src/sidecar/endpoint/host.rs
+++ b/src/sidecar/endpoint/host.rs
@@ -3,6 +3,7 @@
 use super::attempt_result::AttemptResult;
 use super::connection::EndpointConnection;
 use super::forwarded_request::{AttemptSpec, Target};
+use super::known_processes::KnownProcess;
 use crate::clock::Clock;
 use crate::policy::{EndpointId, Timestamp};
 use crate::sidecar::descriptors::DescriptorPermit;
@@ -50,6 +51,15 @@
     /// Reports that an endpoint refused a connection or reset an idle one: its process has ended.
     fn process_ended(&self, target: &Target);
 
+    /// Returns a guard for a connection that was just opened, if it is known to reach the process that the list names.
+    fn known_process(&self, target: &Target) -> Option<KnownProcess>;
+
+    /// Returns whether attempts may be written on connections to known processes only, as the list is overdue.
+    fn requires_known_process(&self) -> bool;
+
+    /// Reports that it is not known which process an endpoint's address reaches, while that is required.
+    fn process_unknown(&self, target: &Target);
+
     /// Reports that an attempt has ended.
     fn attempt_ended(&self, spec: &AttemptSpec, result: AttemptResult);
 
--- a/src/sidecar/endpoint/mod.rs
+++ b/src/sidecar/endpoint/mod.rs
@@ -12,6 +12,7 @@
 mod health_check;
 mod hedged_dial;
 mod host;
+mod known_processes;
 mod load_report;
 mod pool;
 mod request_body;
@@ -27,5 +28,6 @@
 };
 pub use health_check::check_health;
 pub use host::{ConnectPermit, EndpointHost};
+pub use known_processes::{KnownProcess, KnownProcesses};
 pub use pool::{ConnectionPool, IdleConnections, SweepTask};
 pub use streamed_response::StreamedResponse;
--- a/src/sidecar/node/connections.rs
+++ b/src/sidecar/node/connections.rs
@@ -3,7 +3,10 @@
 use crate::policy::{EndpointId, Limits};
 use crate::sidecar::caller::{AcceptedCaller, Admission, CallerTable, DrainState};
 use crate::sidecar::descriptors::{DescriptorBudget, DescriptorPermit, OpenConnections, Side};
-use crate::sidecar::endpoint::{ConnectionPool, EndpointConnection, IdleConnections, SweepTask};
+use crate::sidecar::endpoint::{
+    ConnectionPool, EndpointConnection, IdleConnections, KnownProcess, KnownProcesses, SweepTask,
+    Target,
+};
 use crate::task::Task;
 use tokio::time::Instant;
 
@@ -12,6 +15,7 @@
     callers: CallerTable,
     pool: ConnectionPool,
     descriptors: DescriptorBudget,
+    known_processes: KnownProcesses,
     /// Takes a drain through its states; aborted when the drain ends.
     drain_task: Option<Task>,
 }
@@ -33,6 +37,7 @@
             callers: CallerTable::default(),
             pool: ConnectionPool::new(limits),
             descriptors,
+            known_processes: KnownProcesses::default(),
             drain_task: None,
         }
     }
@@ -94,6 +99,16 @@
         self.descriptors.set_other_process_connections(connections);
     }
 
+    /// Returns whether a connection is open to the process that the list names at an endpoint.
+    pub fn knows(&self, target: &Target) -> bool {
+        self.known_processes.contains(target)
+    }
+
+    /// Records a connection to the process that the list names at an endpoint.
+    pub fn add_known_process(&self, target: &Target) -> KnownProcess {
+        self.known_processes.add(target)
+    }
+
     /// Takes an idle connection to an endpoint out of the pool.
     pub fn take_idle(&mut self, endpoint: &EndpointId) -> Option<EndpointConnection> {
         self.pool.take(endpoint)
--- a/src/sidecar/node/discovery.rs
+++ b/src/sidecar/node/discovery.rs
@@ -142,10 +142,14 @@
         });
     }
 
-    /// Not logged for an agent, which sends nothing while discovery is down.
-    fn call_hedged(&self, _source: Source) {
-        if self.borrow().discovery_mode() == DiscoveryMode::OnRequest {
-            log!("discovery is late with an answer and is called again");
+    /// An agent sends nothing while discovery is down, so its silence shows nothing.
+    fn call_hedged(&self, _source: Source, is_reached: bool) {
+        if self.borrow().discovery_mode() != DiscoveryMode::OnRequest {
+            return;
+        }
+        log!("discovery is late with an answer and is called again");
+        if is_reached {
+            self.handle(Event::DiscoveryLate);
         }
     }
 
--- a/src/sidecar/node/endpoint_host.rs
+++ b/src/sidecar/node/endpoint_host.rs
@@ -5,7 +5,8 @@
 use crate::clock::Clock;
 use crate::policy::{EndpointId, Event, Timestamp};
 use crate::sidecar::endpoint::{
-    AttemptResult, AttemptSpec, ConnectPermit, EndpointConnection, EndpointHost, SweepTask, Target,
+    AttemptResult, AttemptSpec, ConnectPermit, EndpointConnection, EndpointHost, KnownProcess,
+    SweepTask, Target,
 };
 use crate::sidecar::memory::MemoryBudget;
 use std::time::Duration;
@@ -77,6 +78,25 @@
         }
     }
 
+    fn known_process(&self, target: &Target) -> Option<KnownProcess> {
+        let node = self.borrow();
+        let now = node.clock.now();
+        let is_known =
+            node.balancer.list_names_running_processes(now) || node.connections.knows(target);
+        is_known.then(|| node.connections.add_known_process(target))
+    }
+
+    fn requires_known_process(&self) -> bool {
+        let node = self.borrow();
+        node.balancer.is_list_overdue(node.clock.now())
+    }
+
+    fn process_unknown(&self, target: &Target) {
+        self.handle(Event::ProcessUnknown {
+            endpoint: target.endpoint.clone(),
+        });
+    }
+
     /// The first attempt that is served is the request's final answer.
     fn attempt_ended(&self, spec: &AttemptSpec, result: AttemptResult) {
         let request = &spec.request;
--- a/tests/policy/suspension.rs
+++ b/tests/policy/suspension.rs
@@ -121,3 +121,64 @@
     host.handle(Event::EndpointEnabled("e1".into()));
     assert!(is_used(&mut host, "e1"));
 }
+
+/// Guards an endpoint of which only was not known whether its process still runs: once the list has been current, that does
+/// not count any more.
+#[test]
+fn unknown_process_is_suspended_until_the_list_is_confirmed() {
+    let mut host = confirmed_host();
+    lose_watch(&mut host);
+    host.handle(Event::ProcessUnknown {
+        endpoint: "e1".into(),
+    });
+    assert!(!is_used(&mut host, "e1"));
+    host.handle(Event::ListConfirmed);
+    lose_watch(&mut host);
+    assert!(is_used(&mut host, "e1"));
+}
+
+/// The time from the loss of a watch until a change would have to be in force.
+fn change_in_force_after() -> Duration {
+    CHANGE_PROPAGATION_DEADLINE + default_settings().rules.drain_grace
+}
+
+/// A host that has lost its watch, and an event that shows how discovery is since.
+fn host_after(event: Event) -> Host {
+    let mut host = confirmed_host();
+    lose_watch(&mut host);
+    host.discovery_failed();
+    host.handle(event);
+    host
+}
+
+/// Guards the drain of endpoints whose listed processes are replaced unseen: a list is overdue before a change since the loss
+/// of the watch has to be in force, if discovery was reached, and not much earlier.
+#[test]
+fn list_is_overdue_once_a_change_has_to_be_in_force() {
+    for event in [Event::DiscoveryRejected, Event::DiscoveryLate] {
+        let mut host = host_after(event);
+        let in_force_after = change_in_force_after();
+        host.now = host.now + in_force_after / 2;
+        assert!(!host.balancer.is_list_overdue(host.now));
+        host.now = host.now + in_force_after / 2;
+        assert!(host.balancer.is_list_overdue(host.now));
+
+        host.handle(Event::ListConfirmed);
+        assert!(!host.balancer.is_list_overdue(host.now));
+    }
+}
+
+/// Guards outages: as long as discovery cannot be reached, no change has to be in force, and the list stays in use.
+#[test]
+fn list_is_not_overdue_while_discovery_cannot_be_reached() {
+    let mut host = host_after(Event::DiscoveryRejected);
+    for _ in 0..10 {
+        host.now = host.now + ms(3_000);
+        host.discovery_failed();
+        assert!(!host.balancer.is_list_overdue(host.now));
+    }
+    host.now = host.now + LONG_AGO;
+    assert!(!host.balancer.is_list_overdue(host.now), "not reached yet");
+    host.handle(Event::DiscoveryRejected);
+    assert!(!host.balancer.is_list_overdue(host.now), "just reached");
+}
--- a/tests/sidecar/crowded_discovery.rs
+++ b/tests/sidecar/crowded_discovery.rs
@@ -139,3 +139,32 @@
         fixture.expect_use_once_listed();
     });
 }
+
+/// The time after which a change counts as received, with the grace for sends of the test's settings, in milliseconds.
+const CHANGE_IN_FORCE_MS: u64 = 6_250;
+/// Requests that are sent once the list is overdue.
+const REQUESTS_UNDER_AN_OVERDUE_LIST: usize = 300;
+
+/// Guards the same where nothing shows the end: no connection was open, and none was attempted. Once a change would have to be
+/// in force, the list is overdue, and only a process with a connection from before is known to be the listed one.
+#[test]
+fn endpoint_without_a_connection_gets_no_request_while_the_list_is_overdue() {
+    let mut fixture = Fixture::start(ON_REQUEST_MODE, AfterResponse::Close);
+    fixture.use_restartable_endpoint();
+    fixture.restartable.end();
+    fixture.restartable.start_again();
+    wait_until("a change would have to be in force", || {
+        fixture.reject_call();
+        fixture.sidecar.metric("list_unconfirmed_ms") >= Some(CHANGE_IN_FORCE_MS)
+    });
+
+    let before = fixture.restartable.request_count();
+    let mut client = fixture.sidecar.client();
+    for _ in 0..REQUESTS_UNDER_AN_OVERDUE_LIST {
+        fixture.reject_call();
+        assert_eq!(client.exchange(&get_request("5")).status(), 200);
+    }
+
+    assert_eq!(fixture.restartable.request_count(), before);
+    fixture.expect_use_once_listed();
+}
