--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -1,8 +1,8 @@
 //! Fetches of the endpoint list and watches on its changes, each on a connection of its own.
 
 use super::backoff::Backoff;
-use super::consumer::{DiscoveryFailure, ListConsumer};
-use super::error::DiscoveryError;
+use super::consumer::ListConsumer;
+use super::error::{DiscoveryError, DiscoveryFailure};
 use super::hedged_call::fetch_with_hedging;
 use super::list::EndpointList;
 use super::list_decoder::{ListDecoder, MAX_LIST_BYTES, Progress};
--- a/src/discovery/consumer.rs
+++ b/src/discovery/consumer.rs
@@ -1,20 +1,11 @@
 //! The receiver of lists, watches and failures.
 
-use super::error::StaleListError;
+use super::error::{DiscoveryFailure, StaleListError};
 use super::list::EndpointList;
 use super::source::Source;
 use std::fmt;
 use tokio::time::Instant;
 
-/// How discovery failed, as far as the next call depends on it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum DiscoveryFailure {
-    /// It was reached and rejected the call.
-    Rejected,
-    /// It could not be reached, or an open watch was lost.
-    Lost,
-}
-
 /// Receives what the discovery client learns.
 ///
 /// The client calls it from tasks on the current thread, and each call names the source that it concerns: a reload may
--- a/src/discovery/error.rs
+++ b/src/discovery/error.rs
@@ -1,6 +1,5 @@
 //! Errors of the discovery client.
 
-use super::consumer::DiscoveryFailure;
 use super::list_scanner::NotAnObject;
 use hyper::StatusCode;
 use std::io;
@@ -10,6 +9,15 @@
 #[error("the list is older than the previous one")]
 pub struct StaleListError;
 
+/// How discovery failed, as far as the next call depends on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiscoveryFailure {
+    /// It was reached and rejected the call.
+    Rejected,
+    /// It could not be reached, or an open watch was lost.
+    Lost,
+}
+
 /// Why a call of discovery failed, or a watch ended.
 #[derive(Debug, thiserror::Error)]
 pub(super) enum DiscoveryError {
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -54,8 +54,8 @@
 
 pub use backoff::Backoff;
 pub use client::fetch;
-pub use consumer::{DiscoveryFailure, ListConsumer};
-pub use error::StaleListError;
+pub use consumer::ListConsumer;
+pub use error::{DiscoveryFailure, StaleListError};
 pub use list::{EndpointList, EntryStatus, ListEntry};
 pub use membership::{ListUpdate, Member, Membership};
 pub use source::Source;
