Suspend all unknown processes at once under an overdue list

Cause: with the list overdue, each endpoint without a known connection cost one attempt that was not written, and the subset filled up with the next unknown ones; retries ran out and requests were rejected. And connections opened during an outage counted as unknown, though no change has to be in force while discovery cannot be reached. Change: the first unknown process that an attempt meets has the node name all known ones, and the balancer suspends the others in one step; the subset is then chosen of known ones. A connection is known until discovery has been reached, and for 2 s of a list that is not current. One line of the log for all endpoints that change.

--- a/src/policy/event.rs
+++ b/src/policy/event.rs
@@ -4,6 +4,7 @@
     AttemptNumber, ClassId, EndpointId, GroupId, Key, KindId, PeerId, RequestId, TenantId, ZoneId,
 };
 use super::time::Timestamp;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -160,10 +161,10 @@
         /// When something was last received on a watch.
         since: Timestamp,
     },
-    /// The list is overdue, and no open connection shows that the process that it names at an endpoint still runs.
-    ProcessUnknown {
-        /// The endpoint.
-        endpoint: EndpointId,
+    /// The list is overdue, and open connections show that the processes that it names still run at these endpoints alone.
+    OnlyKnownProcesses {
+        /// The endpoints.
+        endpoints: HashSet<EndpointId>,
     },
     /// An endpoint refused a connection, or reset one that was idle: its process has ended, and what listens at its
     /// address from now on is another one.
--- a/src/policy/event_handler.rs
+++ b/src/policy/event_handler.rs
@@ -30,7 +30,9 @@
             Event::ListConfirmed => self.list_confirmed(now, actions),
             Event::ListUnconfirmed { since } => self.list_unconfirmed(now, since, actions),
             Event::ProcessEnded { endpoint } => self.process_ended(now, &endpoint, actions),
-            Event::ProcessUnknown { endpoint } => self.process_unknown(now, &endpoint, actions),
+            Event::OnlyKnownProcesses { endpoints } => {
+                self.suspend_unknown_processes(now, &endpoints, actions);
+            }
             Event::EndpointDisabled(endpoint) => self.disable(now, endpoint, actions),
             Event::EndpointEnabled(endpoint) => self.enable(now, &endpoint),
             Event::Request(request) if self.is_valid(&request) => self.admit(now, request, actions),
--- a/src/policy/suspension.rs
+++ b/src/policy/suspension.rs
@@ -12,22 +12,30 @@
 use super::endpoint::EndpointIndex;
 use super::id::EndpointId;
 use super::time::Timestamp;
+use std::collections::HashSet;
 use std::time::Duration;
 
 /// How long before the list was last current an end still counts: discovery lists an end some seconds after it.
 const UNLISTED_END_LIFETIME: Duration = Duration::from_secs(15);
 
-/// How long after the list was last current its processes still count as running: any end since then is in force later.
+/// How long after the list was last current its processes still count as running.
 const RECENT_LIST_AGE: Duration = Duration::from_secs(2);
 /// How much earlier than a change would have to be in force the list counts as overdue: attempts in between may be held up.
 const OVERDUE_MARGIN: Duration = Duration::from_millis(500);
 
+/// How many endpoints a line of the log names.
+const MAX_LOGGED_ENDPOINTS: usize = 8;
+
 impl Balancer {
-    /// Returns whether the processes that the list names are running, as far as any change would be in force by now.
+    /// Returns whether an endpoint that takes a connection now is the process that the list names, as far as any change that
+    /// says otherwise will be in force before the list is overdue.
     #[must_use]
     pub fn list_names_running_processes(&self, now: Timestamp) -> bool {
-        self.list_unconfirmed_since
-            .is_none_or(|since| now.since(since) < RECENT_LIST_AGE)
+        let schedule = &self.discovery_schedule;
+        let is_recent = |since| now.since(since) < RECENT_LIST_AGE;
+        self.list_unconfirmed_since.is_none()
+            || !schedule.is_reached
+            || schedule.behind_since.is_none_or(is_recent)
     }
 
     /// Returns whether the list is overdue.
@@ -51,32 +59,22 @@
     ) {
         if let Some(index) = self.endpoints.index_of(id) {
             self.endpoints[index].ended_at = Some(now);
-            self.suspend_if_due(now, index, actions);
+            self.update_suspensions(now, actions);
         }
     }
 
-    /// Records that it is not known which process an endpoint's address reaches, and suspends the endpoint if the list may
+    /// Suspends the endpoints of which it is not known whether the process that the list names still runs, if the list may
     /// be old.
-    pub(super) fn process_unknown(
+    pub(super) fn suspend_unknown_processes(
         &mut self,
         now: Timestamp,
-        id: &EndpointId,
+        known: &HashSet<EndpointId>,
         actions: &mut Vec<Action>,
     ) {
-        if let Some(index) = self.endpoints.index_of(id) {
-            self.endpoints[index].is_process_unknown = true;
-            self.suspend_if_due(now, index, actions);
-        }
-    }
-
-    fn suspend_if_due(&mut self, now: Timestamp, index: EndpointIndex, actions: &mut Vec<Action>) {
-        if self.update_suspension(index) {
-            self.log_suspension(index, actions);
-            actions.push(Action::CloseIdleConnections {
-                endpoint: self.endpoints[index].id.clone(),
-            });
-            self.repartition_endpoints(now);
+        for endpoint in self.endpoints.iter_mut() {
+            endpoint.is_process_unknown = !known.contains(&endpoint.id);
         }
+        self.update_suspensions(now, actions);
     }
 
     /// Records that the list is current. It says of each endpoint what to do, so none is suspended.
@@ -103,18 +101,27 @@
         let indices: Vec<EndpointIndex> = self
             .endpoints
             .indices()
-            .filter(|index| self.endpoints[*index].has_lost_process())
+            .filter(|index| {
+                let endpoint = &self.endpoints[*index];
+                endpoint.has_lost_process() || endpoint.is_suspended
+            })
             .collect();
-        let mut has_changed = false;
-        for index in indices {
-            if self.update_suspension(index) {
-                has_changed = true;
-                self.log_suspension(index, actions);
-            }
+        let changed: Vec<EndpointIndex> = indices
+            .into_iter()
+            .filter(|index| self.update_suspension(*index))
+            .collect();
+        if changed.is_empty() {
+            return;
         }
-        if has_changed {
-            self.repartition_endpoints(now);
+        for index in &changed {
+            if self.endpoints[*index].is_suspended {
+                actions.push(Action::CloseIdleConnections {
+                    endpoint: self.endpoints[*index].id.clone(),
+                });
+            }
         }
+        actions.push(Action::Log(self.suspension_line(&changed)));
+        self.repartition_endpoints(now);
     }
 
     /// Updates whether an endpoint is suspended; returns whether that has changed.
@@ -130,16 +137,21 @@
         has_changed
     }
 
-    fn log_suspension(&self, index: EndpointIndex, actions: &mut Vec<Action>) {
-        let endpoint = &self.endpoints[index];
-        actions.push(Action::Log(if endpoint.is_suspended {
-            format!(
-                "endpoint {}: suspended, its process has ended or is not known",
-                endpoint.id.0
-            )
-        } else {
-            format!("endpoint {}: no longer suspended", endpoint.id.0)
-        }));
+    /// Returns the line of the log for endpoints whose suspension has changed.
+    fn suspension_line(&self, changed: &[EndpointIndex]) -> String {
+        let (suspended, resumed): (Vec<EndpointIndex>, Vec<EndpointIndex>) = changed
+            .iter()
+            .partition(|index| self.endpoints[**index].is_suspended);
+        let names = |indices: &[EndpointIndex]| {
+            let ids = indices.iter().map(|index| &*self.endpoints[*index].id.0);
+            let first: Vec<&str> = ids.take(MAX_LOGGED_ENDPOINTS).collect();
+            format!("{} ({})", indices.len(), first.join(" "))
+        };
+        format!(
+            "endpoints suspended: {}; no longer suspended: {}",
+            names(&suspended),
+            names(&resumed)
+        )
     }
 
     /// Returns whether an endpoint is suspended.
--- a/src/sidecar/endpoint/attempt.rs
+++ b/src/sidecar/endpoint/attempt.rs
@@ -57,7 +57,7 @@
                 return AttemptResult::without_response(Outcome::NotSent);
             }
             if self.host.requires_known_process() && !acquired.connection.reaches_known_process() {
-                self.host.process_unknown(&self.spec.target);
+                self.host.unknown_process_reached();
                 return AttemptResult::without_response(Outcome::NotSent);
             }
             let written_before = acquired.connection.progress().bytes_written();
--- a/src/sidecar/endpoint/host.rs
+++ b/src/sidecar/endpoint/host.rs
@@ -57,8 +57,8 @@
     /// Returns whether attempts may be written on connections to known processes only, as the list is overdue.
     fn requires_known_process(&self) -> bool;
 
-    /// Reports that it is not known which process an endpoint's address reaches, while that is required.
-    fn process_unknown(&self, target: &Target);
+    /// Reports that an attempt reached a process that is not known, while that is required.
+    fn unknown_process_reached(&self);
 
     /// Reports that an attempt has ended.
     fn attempt_ended(&self, spec: &AttemptSpec, result: AttemptResult);
--- a/src/sidecar/node/endpoint_host.rs
+++ b/src/sidecar/node/endpoint_host.rs
@@ -9,6 +9,7 @@
     SweepTask, Target,
 };
 use crate::sidecar::memory::MemoryBudget;
+use std::collections::HashSet;
 use std::time::Duration;
 use tokio::task::spawn_local;
 use tokio::time::sleep_until;
@@ -91,10 +92,10 @@
         node.balancer.is_list_overdue(node.clock.now())
     }
 
-    fn process_unknown(&self, target: &Target) {
-        self.handle(Event::ProcessUnknown {
-            endpoint: target.endpoint.clone(),
-        });
+    /// The balancer is given all known processes at once, so that it does not try the others one by one.
+    fn unknown_process_reached(&self) {
+        let endpoints = self.borrow().known_processes();
+        self.handle(Event::OnlyKnownProcesses { endpoints });
     }
 
     /// The first attempt that is served is the request's final answer.
@@ -132,6 +133,16 @@
 }
 
 impl Node {
+    /// Returns the endpoints at which the process that the list names is known to run.
+    fn known_processes(&self) -> HashSet<EndpointId> {
+        let serving = self.endpoints.serving();
+        let targets = serving.filter_map(|endpoint| self.endpoints.target(endpoint));
+        targets
+            .filter(|target| self.connections.knows(target))
+            .map(|target| target.endpoint)
+            .collect()
+    }
+
     /// Ends an attempt, and answers its request if it was served; returns the event that reports it to the balancer, or
     /// `None` where it was cancelled, of which the balancer knows.
     fn end_attempt(&mut self, spec: &AttemptSpec, result: AttemptResult) -> Option<Event> {
--- a/tests/policy/suspension.rs
+++ b/tests/policy/suspension.rs
@@ -128,10 +128,11 @@
 fn unknown_process_is_suspended_until_the_list_is_confirmed() {
     let mut host = confirmed_host();
     lose_watch(&mut host);
-    host.handle(Event::ProcessUnknown {
-        endpoint: "e1".into(),
+    host.handle(Event::OnlyKnownProcesses {
+        endpoints: ["e0".into(), "e2".into()].into(),
     });
     assert!(!is_used(&mut host, "e1"));
+    assert!(is_used(&mut host, "e0"));
     host.handle(Event::ListConfirmed);
     lose_watch(&mut host);
     assert!(is_used(&mut host, "e1"));
