--- a/fleet-lab/tests/discovery.rs
+++ b/fleet-lab/tests/discovery.rs
@@ -228,6 +228,39 @@
     assert!(server.set_capacity(0.0, None).is_err());
 }
 
+#[test]
+fn a_price_for_entries_delays_later_calls() {
+    // Two entries take 0.2 s, longer than a call may be queued.
+    let server = start(DiscoveryOptions {
+        entries_per_second: Some(10.0),
+        queue_timeout: Duration::from_millis(100),
+        ..options()
+    });
+    let mut client = Client::connect(&server, 0);
+    let mut list_status = || {
+        client.get(LIST);
+        client.answer().0
+    };
+    assert_eq!([list_status(), list_status()], [200, 503]);
+}
+
+#[test]
+fn a_watch_that_ends_on_changes_is_followed_by_the_full_list() {
+    let server = start(DiscoveryOptions {
+        on_change: WatchOnChange::Ends,
+        ..options()
+    });
+    let _watch = Client::watch(&server, 0, "&since=1");
+    server.publish(vec![serving("c")]);
+    wait_until("the watch ends", TIMEOUT, || {
+        server.usage().watches_open == 0
+    });
+    let mut next = Client::watch(&server, 0, "&since=1");
+    assert_eq!(next.message(), "2 list a=SERVING b=SERVING c=SERVING");
+    let mut current = Client::watch(&server, 0, "&since=2");
+    current.assert_is_quiet();
+}
+
 #[test]
 fn a_client_that_disconnects_while_queued_is_counted_and_uses_its_slot() {
     let server = start(DiscoveryOptions {
--- a/fleet-lab/tests/small_run.rs
+++ b/fleet-lab/tests/small_run.rs
@@ -63,6 +63,25 @@
     }
 }
 
+#[test]
+fn all_versions_reach_all_sidecars_of_a_discovery_that_ends_its_watches() {
+    let report = run("crowded-discovery");
+
+    assert_names(
+        &report,
+        "version known",
+        &["half", "9 in 10", "99 in 100", "last", "missing"],
+    );
+    assert_none_missing(&report);
+    let watches = values(&report, "watches opened until the end");
+    for watches in watches {
+        assert!(
+            watches >= 1.0,
+            "every sidecar has lost its watch: {watches}"
+        );
+    }
+}
+
 #[test]
 fn missing_sidecars_count_with_the_timeout_and_omit_the_slope() {
     let report = run("outage-cut-short");
