Repeat rejected calls of discovery with their former backoff; keep the yield

Change: DiscoveryRejected delays the next call as DiscoveryFailed does, and only counts as a sign that discovery was reached. A balancer that was served after a long wait still leaves discovery to others for up to 3 s when its watch is lost again.

--- a/src/backoff.rs
+++ b/src/backoff.rs
@@ -20,11 +20,6 @@
         let doubled_mean = self.initial_mean * f64::from(1 << doublings);
         let max_mean = max_delay / MAX_JITTER_FACTOR;
         let mean = doubled_mean.min(max_mean).max(self.initial_mean);
-        mean * jitter_factor(random)
+        mean * (MAX_JITTER_FACTOR - 1.0 + random)
     }
 }
-
-/// Returns the factor of a mean delay for a random number from 0 to 1.
-pub(crate) fn jitter_factor(random: f64) -> f64 {
-    MAX_JITTER_FACTOR - 1.0 + random
-}
--- a/src/policy/discovery_calls.rs
+++ b/src/policy/discovery_calls.rs
@@ -2,7 +2,7 @@
 
 use super::balancer::Balancer;
 use super::time::{Timestamp, duration_from_seconds};
-use crate::backoff::{ExponentialBackoff, jitter_factor};
+use crate::backoff::ExponentialBackoff;
 use std::time::Duration;
 
 /// The longest time from a change of the list at a reachable discovery until the change is in force.
@@ -22,12 +22,6 @@
 /// The mean delay after the first failed call, as a fraction of the poll interval.
 const INITIAL_BACKOFF_FRACTION: f64 = 0.05;
 const MAX_DOUBLINGS: u32 = 4;
-/// The longest mean delay after a rejected call, while the list is fresh.
-const MAX_REJECTED_MEAN: Duration = Duration::from_secs(1);
-/// The shortest mean delay after a rejected call, once the list is about to be too old.
-const MIN_REJECTED_MEAN: Duration = Duration::from_millis(200);
-/// Calls that are to be made in the time that a rejected sidecar has left to become current.
-const CALLS_IN_REMAINING_TIME: u32 = 4;
 /// The longest additional delay before a lost watch is reopened at a crowded discovery. Most of
 /// [`CHANGE_PROPAGATION_DEADLINE`] is left then for calls that may be rejected.
 const MAX_YIELD: Duration = Duration::from_secs(3);
@@ -38,8 +32,20 @@
 
 impl Balancer {
     /// Delays the next call with backoff: all balancers lose their watches at the same time, and calls at once and in
-    /// step would fail again. The mean doubles with each failure in a row, as far as [`MAX_CALL_INTERVAL`] allows.
+    /// step would fail again.
     pub(super) fn discovery_failed(&mut self, now: Timestamp) {
+        let delay = self.backoff_delay(now);
+        let delay = match self.discovery_schedule.behind_since {
+            None => delay.max(self.yield_to_others()),
+            Some(_) => delay,
+        };
+        self.schedule_call(now, delay);
+        self.discovery_schedule.behind_since = Some(now);
+        self.discovery_schedule.is_reached = false;
+    }
+
+    /// Returns a delay whose mean doubles with each failure in a row, as far as [`MAX_CALL_INTERVAL`] allows.
+    fn backoff_delay(&mut self, now: Timestamp) -> f64 {
         let poll_interval = self
             .settings
             .rules
@@ -49,19 +55,12 @@
             initial_mean: poll_interval.as_secs_f64() * INITIAL_BACKOFF_FRACTION,
             max_doublings: MAX_DOUBLINGS,
         };
-        let schedule = &mut self.discovery_schedule;
+        let schedule = &self.discovery_schedule;
         let since_last_failure = now.since(schedule.last_failure);
         let max_delay = MAX_CALL_INTERVAL
             .saturating_sub(since_last_failure)
             .as_secs_f64();
-        let delay = backoff.delay(schedule.failures_in_row, max_delay, self.random.unit());
-        let delay = match schedule.behind_since {
-            None => delay.max(self.yield_to_others()),
-            Some(_) => delay,
-        };
-        self.schedule_call(now, delay);
-        self.discovery_schedule.behind_since = Some(now);
-        self.discovery_schedule.is_reached = false;
+        backoff.delay(schedule.failures_in_row, max_delay, self.random.unit())
     }
 
     /// Returns how long a balancer that was current until now leaves discovery to those that are not: the longer it took
@@ -71,21 +70,16 @@
         longest.as_secs_f64() * (1.0 - YIELD_JITTER * self.random.unit())
     }
 
-    /// Delays the next call after a rejection. A crowded discovery serves those that call most often, so the delay is the
-    /// shorter the older the list is, instead of growing with each failure: otherwise balancers that were served lately
-    /// are served again, and those that were rejected for long fall behind for good.
+    /// Delays the next call after a rejection, with the same backoff: a rejected call costs a crowded discovery as much as
+    /// an answered one, so that calls at short intervals keep it from serving any.
     pub(super) fn discovery_rejected(&mut self, now: Timestamp) {
-        let behind_since = self.discovery_reached(now);
-        let remaining = CHANGE_PROPAGATION_DEADLINE.saturating_sub(now.since(behind_since));
-        let mean =
-            (remaining / CALLS_IN_REMAINING_TIME).clamp(MIN_REJECTED_MEAN, MAX_REJECTED_MEAN);
-        let delay = mean.as_secs_f64() * jitter_factor(self.random.unit());
+        self.discovery_reached(now);
+        let delay = self.backoff_delay(now);
         self.schedule_call(now, delay);
     }
 
-    /// Records that discovery has been reached. Returns since when the list has not been current although it could be reached:
-    /// before the first call that reached it, it may not have been.
-    pub(super) fn discovery_reached(&mut self, now: Timestamp) -> Timestamp {
+    /// Records that discovery has been reached. Before the first call that reached it, it may not have been reachable.
+    pub(super) fn discovery_reached(&mut self, now: Timestamp) {
         let schedule = &mut self.discovery_schedule;
         let behind_since = schedule.behind_since.get_or_insert(now);
         if !std::mem::replace(&mut schedule.is_reached, true)
@@ -93,7 +87,6 @@
         {
             *behind_since = now.minus(MAX_CALL_INTERVAL);
         }
-        *behind_since
     }
 
     fn schedule_call(&mut self, now: Timestamp, delay: f64) {
--- a/src/policy/event_handler.rs
+++ b/src/policy/event_handler.rs
@@ -24,9 +24,7 @@
             }
             Event::DiscoveryFailed => self.discovery_failed(now),
             Event::DiscoveryRejected => self.discovery_rejected(now),
-            Event::DiscoveryLate => {
-                self.discovery_reached(now);
-            }
+            Event::DiscoveryLate => self.discovery_reached(now),
             Event::ListConfirmed => self.list_confirmed(now, actions),
             Event::ListUnconfirmed { since } => self.list_unconfirmed(now, since, actions),
             Event::ProcessEnded { endpoint } => self.process_ended(now, &endpoint, actions),
