Count the age of the list from what was last received on a silent watch

Cause: the time from which a list is overdue, and the yield to others, began when a silent watch was given up, 4.2 s after the last it sent; with the yield and a queue, the next list could come later than a change has to be in force. A report of known processes that came when the list was current again would have suspended all others at the next loss of the watch. Both found by reading. Change: the loss of a watch tells when something was last received; the yield shrinks by the silence. Such a late report is dropped.

--- a/src/policy/discovery_calls.rs
+++ b/src/policy/discovery_calls.rs
@@ -34,13 +34,17 @@
     /// Delays the next call with backoff: all balancers lose their watches at the same time, and calls at once and in
     /// step would fail again.
     pub(super) fn discovery_failed(&mut self, now: Timestamp) {
-        let delay = self.backoff_delay(now);
-        let delay = match self.discovery_schedule.behind_since {
-            None => delay.max(self.yield_to_others()),
-            Some(_) => delay,
+        let backoff_delay = self.backoff_delay(now);
+        let was_current = self.discovery_schedule.behind_since.is_none();
+        let last_received_at = self.discovery_schedule.last_received_at.take();
+        let behind_since = last_received_at.filter(|_| was_current).unwrap_or(now);
+        let delay = if was_current {
+            backoff_delay.max(self.yield_to_others(now.since(behind_since)))
+        } else {
+            backoff_delay
         };
         self.schedule_call(now, delay);
-        self.discovery_schedule.behind_since = Some(now);
+        self.discovery_schedule.behind_since = Some(behind_since);
         self.discovery_schedule.is_reached = false;
     }
 
@@ -64,9 +68,11 @@
     }
 
     /// Returns how long a balancer that was current until now leaves discovery to those that are not: the longer it took
-    /// to become current the last time, the more of them there are.
-    fn yield_to_others(&mut self) -> f64 {
+    /// to become current the last time, the more of them there are. A watch that was silent before it was lost has used up
+    /// some of that time.
+    fn yield_to_others(&mut self, silence: Duration) -> f64 {
         let longest = self.discovery_schedule.catch_up_time.min(MAX_YIELD);
+        let longest = longest.saturating_sub(silence);
         longest.as_secs_f64() * (1.0 - YIELD_JITTER * self.random.unit())
     }
 
--- a/src/policy/discovery_schedule.rs
+++ b/src/policy/discovery_schedule.rs
@@ -11,6 +11,8 @@
     /// When the last call failed; the next one, which the host may make by itself, begins after it.
     pub(super) last_failure: Timestamp,
     pub(super) failures_in_row: u32,
+    /// When something was last received on the watch that was lost, until that failure is handled.
+    pub(super) last_received_at: Option<Timestamp>,
     /// Since when the list has not been current although discovery could be reached; `None` while it is current.
     pub(super) behind_since: Option<Timestamp>,
     /// Discovery has been reached since then.
--- a/src/policy/event_handler.rs
+++ b/src/policy/event_handler.rs
@@ -26,7 +26,10 @@
             Event::DiscoveryRejected => self.discovery_rejected(now),
             Event::DiscoveryLate => self.discovery_reached(now),
             Event::ListConfirmed => self.list_confirmed(now, actions),
-            Event::ListUnconfirmed { since } => self.list_unconfirmed(now, since, actions),
+            Event::ListUnconfirmed { since } => {
+                self.discovery_schedule.last_received_at = Some(since);
+                self.list_unconfirmed(now, since, actions);
+            }
             Event::ProcessEnded { endpoint } => self.process_ended(now, &endpoint, actions),
             Event::OnlyKnownProcesses { endpoints } => {
                 self.suspend_unknown_processes(now, &endpoints, actions);
--- a/src/policy/suspension.rs
+++ b/src/policy/suspension.rs
@@ -71,6 +71,9 @@
         known: &HashSet<EndpointId>,
         actions: &mut Vec<Action>,
     ) {
+        if self.list_unconfirmed_since.is_none() {
+            return;
+        }
         for endpoint in self.endpoints.iter_mut() {
             endpoint.is_process_unknown = !known.contains(&endpoint.id);
         }
--- a/tests/policy/discovery_calls.rs
+++ b/tests/policy/discovery_calls.rs
@@ -225,3 +225,26 @@
     let do_not_shrink = later.iter().all(|total| *total > first);
     assert!(do_not_shrink, "{total_of_delays:?}");
 }
+
+/// Guards a watch that was silent before it was lost: most of the time in which a change has to be in force has passed, and it
+/// is reopened without yielding to others.
+#[test]
+fn silent_watch_is_reopened_soon_after_a_slow_catch_up() {
+    for seed in 0..50 {
+        let (mut host, mut actions) = host_that_lost_its_watch(seed);
+        wait_for_call(&mut host, &actions);
+        for _ in 0..5 {
+            actions = reject_call(&mut host);
+            wait_for_call(&mut host, &actions);
+        }
+        host.apply_list(ListKind::Full, endpoint_entries(1));
+        host.handle(Event::ListConfirmed);
+
+        let since = host.now;
+        host.now = host.now + DISCOVERY_TIMEOUT;
+        host.handle(Event::ListUnconfirmed { since });
+        actions = host.discovery_failed();
+        let delay = wait_for_call(&mut host, &actions);
+        assert!(delay < ms(1_000), "seed {seed}: {delay:?}");
+    }
+}
--- a/tests/policy/suspension.rs
+++ b/tests/policy/suspension.rs
@@ -183,3 +183,27 @@
     host.handle(Event::DiscoveryRejected);
     assert!(!host.balancer.is_list_overdue(host.now), "just reached");
 }
+
+/// Guards a watch that was silent before it was lost: the time until the list is overdue counts from what was last received.
+#[test]
+fn list_is_overdue_by_the_time_since_something_was_received() {
+    let mut host = confirmed_host();
+    let since = host.now;
+    host.now = host.now + DISCOVERY_TIMEOUT;
+    host.handle(Event::ListUnconfirmed { since });
+    host.discovery_failed();
+    host.handle(Event::DiscoveryRejected);
+    host.now = since + change_in_force_after();
+    assert!(host.balancer.is_list_overdue(host.now));
+}
+
+/// Guards against a report of known processes that comes when the list is current again: it suspends nothing, also later.
+#[test]
+fn late_report_of_known_processes_has_no_effect() {
+    let mut host = confirmed_host();
+    host.handle(Event::OnlyKnownProcesses {
+        endpoints: ["e0".into()].into(),
+    });
+    lose_watch(&mut host);
+    assert!(is_used(&mut host, "e1"));
+}
