--- a/src/sidecar/node/mod.rs
+++ b/src/sidecar/node/mod.rs
@@ -11,7 +11,7 @@
 //! | `active_configuration.rs` | the configuration in force and the settings before it |
 //!
 //! The other files are the node's interfaces: `requests.rs` to callers, `endpoint_host.rs` to attempts, `discovery.rs` to
-//! the discovery client, `process_messages.rs` to the other processes, `operators.rs` and `reload.rs` to the operators; `actions.rs` and `attempts.rs`
+//! the discovery client, `process_messages.rs` to the other processes, `operators.rs`, `reload.rs` and `report.rs` to the operators; `actions.rs` and `attempts.rs`
 //! execute what the balancer decides.
 //!
 //! Callers, attempts and discovery run in local tasks and reach the node through [`NodeHandle`]. Its methods borrow the
@@ -31,6 +31,7 @@
 mod operators;
 mod process_messages;
 mod reload;
+mod report;
 mod requests;
 mod state;
 
@@ -38,7 +39,8 @@
 pub use open_request::{FinalAnswer, RequestRejected};
 pub use operators::UnknownEndpoint;
 pub use process_messages::TakeoverEnd;
-pub use state::{NodeHandle, NodeReport, StartMode, StartOptions};
+pub use report::NodeReport;
+pub use state::{NodeHandle, StartMode, StartOptions};
 
 #[cfg(test)]
 mod first_list_tests;
--- /dev/null
+++ b/src/sidecar/node/report.rs
@@ -0,0 +1,65 @@
+//! The node's state and counts, for the log and the operators' metrics.
+
+use super::state::Node;
+use crate::policy::BalancerStatus;
+#[cfg(test)]
+use crate::sidecar::counters::Counters;
+use crate::sidecar::counters::CountersLine;
+use crate::sidecar::descriptors::OpenConnections;
+use crate::sidecar::metrics::{ListMetrics, MemberCounts};
+
+/// What the log's counters line reports.
+pub struct NodeReport {
+    /// What has happened since the last line.
+    pub counters: CountersLine,
+    /// The balancer's present state.
+    pub status: BalancerStatus,
+    /// How current the endpoint list is.
+    pub list: ListMetrics,
+    /// The connections open now.
+    pub connections: OpenConnections,
+}
+
+impl Node {
+    /// Writes the metrics, one a line.
+    pub fn write_metrics(&self, text: &mut String) {
+        let status = self.balancer_status();
+        let members = MemberCounts {
+            listed: self.endpoints.len(),
+            unavailable: status.unavailable,
+            suspended: status.suspended,
+        };
+        self.metrics.write(&members, &self.list_metrics(), text);
+    }
+
+    /// Returns the present state and the counters since the last report, which start over.
+    pub fn take_report(&mut self) -> NodeReport {
+        let answered = self.metrics.answered();
+        NodeReport {
+            counters: self.counters.take(answered),
+            status: self.balancer_status(),
+            list: self.list_metrics(),
+            connections: self.open_connections(),
+        }
+    }
+
+    fn list_metrics(&self) -> ListMetrics {
+        let status = self.endpoints.status();
+        ListMetrics {
+            version: self.endpoints.list_version().unwrap_or(0),
+            unconfirmed_for: status.unconfirmed_for(self.clock.now()),
+            watches_opened: status.watches_opened(),
+            discovery_failures: status.failures(),
+        }
+    }
+
+    /// Returns the counters since the last report.
+    #[cfg(test)]
+    pub fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    fn balancer_status(&self) -> BalancerStatus {
+        self.balancer.status(self.clock.now())
+    }
+}
--- a/src/sidecar/node/state.rs
+++ b/src/sidecar/node/state.rs
@@ -7,16 +7,14 @@
 use super::open_requests::OpenRequests;
 use crate::clock::Clock;
 use crate::configuration::Config;
-use crate::policy::{
-    Action, Balancer, BalancerStatus, DiscoveryMode, EndpointId, Event, ListKind, SettingsError,
-};
+use crate::policy::{Action, Balancer, DiscoveryMode, EndpointId, Event, ListKind, SettingsError};
 use crate::sidecar::admin_state::AdminState;
 use crate::sidecar::caller::CallerTable;
-use crate::sidecar::counters::{Counters, CountersLine};
+use crate::sidecar::counters::Counters;
 use crate::sidecar::descriptors::{DescriptorBudget, OpenConnections};
 use crate::sidecar::hot_restart::SharedDirectory;
 use crate::sidecar::memory::MemoryBudget;
-use crate::sidecar::metrics::{ListMetrics, MemberCounts, Metrics, RequestCount};
+use crate::sidecar::metrics::{Metrics, RequestCount};
 use std::cell::{RefCell, RefMut};
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -75,18 +73,6 @@
     HotRestart,
 }
 
-/// What the log's counters line reports.
-pub struct NodeReport {
-    /// What has happened since the last line.
-    pub counters: CountersLine,
-    /// The balancer's present state.
-    pub status: BalancerStatus,
-    /// How current the endpoint list is.
-    pub list: ListMetrics,
-    /// The connections open now.
-    pub connections: OpenConnections,
-}
-
 impl NodeHandle {
     /// Starts a node with the cached list of its configuration. It follows discovery once its balancer subscribes; at once
     /// in a hot restart, where lists are pushed, and where there is no cached list, as the balancer subscribes only when
@@ -272,46 +258,4 @@
     pub fn begin_request(&mut self, class: &str) -> RequestCount {
         self.metrics.begin_request(class)
     }
-
-    /// Writes the metrics, one a line.
-    pub fn write_metrics(&self, text: &mut String) {
-        let status = self.balancer_status();
-        let members = MemberCounts {
-            listed: self.endpoints.len(),
-            unavailable: status.unavailable,
-            suspended: status.suspended,
-        };
-        self.metrics.write(&members, &self.list_metrics(), text);
-    }
-
-    /// Returns the present state and the counters since the last report, which start over.
-    pub fn take_report(&mut self) -> NodeReport {
-        let answered = self.metrics.answered();
-        NodeReport {
-            counters: self.counters.take(answered),
-            status: self.balancer_status(),
-            list: self.list_metrics(),
-            connections: self.open_connections(),
-        }
-    }
-
-    fn list_metrics(&self) -> ListMetrics {
-        let status = self.endpoints.status();
-        ListMetrics {
-            version: self.endpoints.list_version().unwrap_or(0),
-            unconfirmed_for: status.unconfirmed_for(self.clock.now()),
-            watches_opened: status.watches_opened(),
-            discovery_failures: status.failures(),
-        }
-    }
-
-    /// Returns the counters since the last report.
-    #[cfg(test)]
-    pub fn counters(&self) -> &Counters {
-        &self.counters
-    }
-
-    fn balancer_status(&self) -> BalancerStatus {
-        self.balancer.status(self.clock.now())
-    }
 }
