Reserve the port of an endpoint that is down in the tests of a crowded discovery

While the endpoint is down its port is free, and a stub of another test that binds port 0 can get it and answer in its place. Change: a socket that does not listen keeps the port bound; the endpoint's listeners share it by SO_REUSEPORT. No check is changed.

--- a/tests/sidecar/stubs/restartable_endpoint.rs
+++ b/tests/sidecar/stubs/restartable_endpoint.rs
@@ -1,7 +1,7 @@
 //! An endpoint whose process can end and start again at its address.
 
 use super::message::*;
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 use std::io::{BufReader, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -18,6 +18,8 @@
     pub address: SocketAddr,
     after_response: AfterResponse,
     process: Option<EndpointProcess>,
+    /// Keeps the port from other tests while no process listens.
+    _reservation: Socket,
 }
 
 /// What becomes of a connection after a response.
@@ -41,11 +43,14 @@
 
 impl RestartableEndpoint {
     pub fn start(after_response: AfterResponse) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let reservation = bind_shared("127.0.0.1:0".parse().expect("an address"));
+        let address = reservation.local_addr().expect("it is bound");
+        let address = address.as_socket().expect("an address");
         RestartableEndpoint {
-            address: listener.local_addr().expect("an address"),
+            address,
             after_response,
-            process: Some(EndpointProcess::start(listener, after_response)),
+            process: Some(EndpointProcess::start(listen(address), after_response)),
+            _reservation: reservation,
         }
     }
 
@@ -59,7 +64,7 @@
     /// Starts a new process at the same address.
     pub fn start_again(&mut self) {
         assert!(self.process.is_none(), "it has ended");
-        let listener = TcpListener::bind(self.address).expect("the port is free");
+        let listener = listen(self.address);
         self.process = Some(EndpointProcess::start(listener, self.after_response));
     }
 
@@ -81,6 +86,20 @@
     }
 }
 
+/// Binds a socket to an address that other sockets of the endpoint are bound to as well, but no one else's.
+fn bind_shared(address: SocketAddr) -> Socket {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    socket.set_reuse_port(true).expect("an option");
+    socket.bind(&address.into()).expect("a port");
+    socket
+}
+
+fn listen(address: SocketAddr) -> TcpListener {
+    let socket = bind_shared(address);
+    socket.listen(128).expect("it listens");
+    socket.into()
+}
+
 fn accept_until_ended(
     listener: &TcpListener,
     state: &Arc<ProcessState>,
