Add review case 1: a long answer that breaks off ends in a close without a byte

Cause: an answer of over 64 KiB is passed on when its first bytes have come. If the next part is an error before hyper has written the head, hyper drops the head, and the client's connection is closed with no answer.

Added: a script in which one long answer in three breaks off after 4 kB, for an unsafe class.

--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -1,163 +1,178 @@
-//! Case 1: a planned restart while clients send bodies of over 64 KiB at 64 kB a second.
+//! Case 1: long answers of endpoints break off in their first piece.
 
 #[path = "../common/mod.rs"]
 mod common;
 
 use common::*;
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-/// Each client sends its body in parts that make 64 kB a second.
-const PART: usize = 6_400;
-const PART_INTERVAL: Duration = Duration::from_millis(100);
-/// The lengths of the bodies in parts: their last bytes are written 1.0, 2.0, 2.8 and 3.2 s after SIGTERM.
-const PARTS: [usize; 4] = [20, 30, 38, 42];
-/// SIGTERM comes so long after the start of the uploads.
-const TERM_AFTER: Duration = Duration::from_millis(1_000);
-/// SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as 3 s where it is longer, plus 0.7 s. The
-/// case waits 0.1 s longer.
-const KILL_AFTER: Duration = Duration::from_millis(3_800);
-/// A request that came later than this after SIGTERM is lost if SIGKILL finds it unanswered.
-const EXCUSED: Duration = Duration::from_millis(700);
-/// The time from a request's last byte at an endpoint to its answer.
-const WORK: Duration = Duration::from_millis(1_200);
+/// The length of a long answer, and of the part of it that is written before it breaks off.
+const LENGTH: usize = 100_000;
+const FIRST_PIECE: usize = 4_000;
+/// One long answer in so many breaks off.
+const BREAKS_ONE_IN: usize = 3;
+const WORK: Duration = Duration::from_millis(100);
+const CLIENTS: usize = 4;
+const REQUESTS: usize = 20;
+/// The client's time, and half a second more, in which an answer only earns nothing.
 const DEADLINE: Duration = Duration::from_millis(6_000);
-/// An answer that comes so long after the client's time only earns nothing; later, or never, the request is lost.
 const SLACK: Duration = Duration::from_millis(550);
 
-/// An endpoint that answers each complete request with 200 after `WORK`.
-fn start_endpoint(record: &Record, name: &'static str) -> SocketAddr {
+/// What the endpoints have run: the ids of requests, in order.
+#[derive(Clone, Default)]
+struct Runs {
+    ids: Arc<Mutex<Vec<String>>>,
+    long_answers: Arc<AtomicUsize>,
+}
+
+fn start_endpoint(record: &Record, name: &'static str, breaks: bool, runs: &Runs) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("a bound address");
-    let record = record.clone();
+    let (record, runs) = (record.clone(), runs.clone());
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let record = record.clone();
-            thread::spawn(move || serve(stream, &record, name));
+            let (record, runs) = (record.clone(), runs.clone());
+            thread::spawn(move || serve(stream, &record, name, breaks, &runs));
         }
     });
     address
 }
 
-fn serve(mut stream: TcpStream, record: &Record, name: &str) {
+fn serve(mut stream: TcpStream, record: &Record, name: &str, breaks: bool, runs: &Runs) {
+    let _ = stream.set_nodelay(true);
     while let Some(head) = read_head(&mut stream) {
         let id = head.header("x-request-id").unwrap_or("none").to_string();
-        let Some(body) = read_body(&mut stream, &head) else {
-            record.line(format!("endpoint {name}: request {id} broke off before its last byte"));
+        if read_body(&mut stream, &head).is_none() {
             return;
-        };
-        record.line(format!("endpoint {name}: request {id} has come whole ({} bytes) and runs", body.len()));
+        }
         thread::sleep(WORK);
-        let text = format!("done {id}");
-        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
-        let is_written = stream.write_all(answer.as_bytes()).is_ok();
-        record.line(format!("endpoint {name}: request {id} has run; its answer is written: {is_written}"));
-        if !is_written {
+        runs.ids.lock().expect("the lock").push(id.clone());
+        let number = runs.long_answers.fetch_add(1, Ordering::SeqCst) + 1;
+        let mut answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {LENGTH}\r\n\r\n").into_bytes();
+        if breaks && number.is_multiple_of(BREAKS_ONE_IN) {
+            answer.resize(answer.len() + FIRST_PIECE, b'.');
+            let _ = stream.write_all(&answer);
+            record.line(format!("endpoint {name}: {id} has run; its answer breaks off after {FIRST_PIECE} of {LENGTH} bytes"));
+            return; // closes the connection
+        }
+        answer.resize(answer.len() + LENGTH, b'.');
+        if stream.write_all(&answer).is_err() {
             return;
         }
+        record.line(format!("endpoint {name}: {id} has run; its answer is written whole"));
     }
 }
 
-/// What a client has seen of its request.
-#[derive(Default)]
-struct Seen {
-    /// The last byte was written, and the sidecar's machine has acknowledged it.
-    last_byte_at: Option<Instant>,
-    /// The status of the whole answer, and when its last byte came.
-    answer: Option<(u16, Instant)>,
+/// The result of one request, as the client sees it.
+enum Outcome {
+    /// A whole answer.
+    Whole(u16),
+    /// An answer whose beginning came, and that the client can tell is not whole.
+    CutOff,
+    /// The sidecar closed the connection without a byte of an answer.
+    ClosedWithoutAnswer,
+    /// Nothing came up to half a second after the client's time.
+    Silence,
 }
 
-/// Sends one request whose body has `parts` parts, and reads the answer.
-fn run_client(listen: SocketAddr, record: &Record, number: usize, parts: usize, seen: &Mutex<Seen>) {
-    let Ok(mut stream) = TcpStream::connect(listen) else { return };
-    let _ = stream.set_nodelay(true);
-    let id = new_id();
-    let length = parts * PART;
-    let head = format!(
-        "POST /api HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: {id}\r\nX-Class: confirm\r\nX-Deadline: {:.3}\r\nContent-Length: {length}\r\n\r\n",
-        DEADLINE.as_secs_f64()
+fn send(stream: &mut TcpStream, id: &str) -> bool {
+    let body = "slot=7";
+    let request = format!(
+        "POST /api HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: {id}\r\nX-Class: confirm\r\nX-Deadline: {:.3}\r\nContent-Length: {}\r\n\r\n{body}",
+        DEADLINE.as_secs_f64(),
+        body.len()
     );
-    record.line(format!("client {number}: sends request {id}: POST, class confirm, {length} bytes at 64 kB a second"));
-    let begun_at = Instant::now();
-    let mut is_written = stream.write_all(head.as_bytes()).is_ok();
-    for part in 1..=parts {
-        thread::sleep((begun_at + PART_INTERVAL * part as u32).saturating_duration_since(Instant::now()));
-        is_written = is_written && stream.write_all(&[b'x'; PART]).is_ok();
-    }
-    if !is_written || !wait_until_acknowledged(&stream) {
-        record.line(format!("client {number}: the connection ended before the last byte of {id} was written"));
-        return;
-    }
-    let last_byte_at = Instant::now();
-    seen.lock().expect("the lock").last_byte_at = Some(last_byte_at);
-    record.line(format!("client {number}: the last byte of {id} is written and acknowledged"));
+    stream.write_all(request.as_bytes()).is_ok()
+}
+
+fn receive(stream: &mut TcpStream) -> Outcome {
     let _ = stream.set_read_timeout(Some(DEADLINE + SLACK));
-    match read_answer(&mut stream) {
-        Some(Answer { status, body }) => {
-            record.line(format!("client {number}: whole answer {status} to {id}: {}", String::from_utf8_lossy(&body)));
-            seen.lock().expect("the lock").answer = Some((status, Instant::now()));
+    let mut first = [0; 1];
+    match stream.peek(&mut first) {
+        Ok(0) => return Outcome::ClosedWithoutAnswer,
+        Ok(_) => {}
+        Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => return Outcome::ClosedWithoutAnswer,
+        Err(_) => return Outcome::Silence,
+    }
+    read_answer(stream).map_or(Outcome::CutOff, |answer| Outcome::Whole(answer.status))
+}
+
+/// Sends requests one after another on a connection that it keeps. Returns the ids of those whose connection was closed
+/// without an answer, or that got none in time.
+fn run_client(listen: SocketAddr, record: &Record, number: usize) -> Vec<String> {
+    let mut unanswered = Vec::new();
+    let mut kept: Option<TcpStream> = None;
+    for _ in 0..REQUESTS {
+        let Some(mut stream) = kept.take().or_else(|| TcpStream::connect(listen).ok()) else { continue };
+        let id = new_id();
+        // A close between requests may cross the request. It is then not known that the sidecar has read it.
+        let mut byte = [0; 1];
+        let _ = stream.set_nonblocking(true);
+        let is_closed = matches!(stream.read(&mut byte), Ok(0));
+        let _ = stream.set_nonblocking(false);
+        if is_closed {
+            let Ok(new) = TcpStream::connect(listen) else { continue };
+            stream = new;
+        }
+        if !send(&mut stream, &id) {
+            continue;
+        }
+        match receive(&mut stream) {
+            Outcome::Whole(status) => {
+                record.line(format!("client {number}: whole answer {status} to {id}"));
+                kept = Some(stream);
+            }
+            Outcome::CutOff => record.line(format!("client {number}: the answer to {id} is cut off; the client can tell: failed")),
+            Outcome::ClosedWithoutAnswer => {
+                record.line(format!("client {number}: the connection is closed without a byte of an answer to {id}"));
+                unanswered.push(id);
+            }
+            Outcome::Silence => {
+                record.line(format!("client {number}: no answer to {id}"));
+                unanswered.push(id);
+            }
         }
-        None => record.line(format!("client {number}: the connection has ended, or the time is over, without a whole answer to {id}")),
     }
+    unanswered
 }
 
 fn main() {
     let case = Case::begin();
     let record = case.record.clone();
-    let endpoints = ["s-1", "s-2", "s-3", "s-4"].map(|name| (name, start_endpoint(&record, name)));
+    let runs = Runs::default();
+    let endpoints = ["s-1", "s-2", "s-3", "s-4"].map(|name| (name, start_endpoint(&record, name, case.trouble, &runs)));
     let site = seoul_booking();
     let discovery = Discovery::start(&site, &endpoints);
     let (case, mut sidecar) = start_or_end(case, &site, discovery.address);
-    thread::sleep(Duration::from_millis(1_000));
-
-    let seen: Vec<Arc<Mutex<Seen>>> = PARTS.iter().map(|_| Arc::default()).collect();
-    let begun_at = Instant::now();
-    let clients: Vec<_> = PARTS
-        .iter()
-        .enumerate()
-        .map(|(number, parts)| {
-            let (listen, record, seen, parts) = (sidecar.listen, record.clone(), seen[number].clone(), *parts);
-            thread::spawn(move || run_client(listen, &record, number + 1, parts, &seen))
+    thread::sleep(Duration::from_millis(500));
+    let clients: Vec<_> = (1..=CLIENTS)
+        .map(|number| {
+            let (listen, record) = (sidecar.listen, record.clone());
+            thread::spawn(move || run_client(listen, &record, number))
         })
         .collect();
-    let mut term_at = None;
-    if case.trouble {
-        thread::sleep((begun_at + TERM_AFTER).saturating_duration_since(Instant::now()));
-        sidecar.signal(SIGTERM);
-        let at = Instant::now();
-        term_at = Some(at);
-        if !sidecar.wait_for_end((at + KILL_AFTER).saturating_duration_since(Instant::now())) {
-            sidecar.signal(SIGKILL);
-            sidecar.wait_for_end(Duration::from_secs(2));
-        }
-    }
-    for client in clients {
-        let _ = client.join();
-    }
+    let unanswered: Vec<String> = clients.into_iter().filter_map(|client| client.join().ok()).flatten().collect();
+    let has_ended = sidecar.has_ended();
     sidecar.record_log(&case);
     drop(sidecar);
-
-    let (mut taken, mut lost) = (0, 0);
-    for (number, seen) in seen.iter().enumerate() {
-        let seen = seen.lock().expect("the lock");
-        let Some(last_byte_at) = seen.last_byte_at else { continue };
-        let is_excused = term_at.is_some_and(|at| last_byte_at < at + EXCUSED);
-        if is_excused {
-            continue;
-        }
-        taken += 1;
-        if seen.answer.is_none_or(|(_, at)| at > last_byte_at + DEADLINE + SLACK) {
-            lost += 1;
-            record.line(format!("request of client {}: taken and never answered: lost", number + 1));
-        }
+    let ids = runs.ids.lock().expect("the lock").clone();
+    // Only requests that an endpoint has run: the sidecar has read them and sent them on.
+    let lost: Vec<&String> = unanswered.iter().filter(|id| ids.contains(id)).collect();
+    for id in &lost {
+        record.line(format!("request {id}: run by an endpoint, closed without an answer: lost"));
     }
-    record.line(format!("taken and not excused: {taken}; lost: {lost}"));
-    case.end(match (taken, lost) {
-        (0, _) => Verdict::CouldNotRun,
-        (_, 0) => Verdict::Held,
-        _ => Verdict::Broken,
+    let broken = if case.trouble { ids.len() / BREAKS_ONE_IN } else { 0 };
+    record.line(format!("requests run: {}; answers that broke off: {broken}; lost: {}", ids.len(), lost.len()));
+    case.end(if has_ended || ids.is_empty() {
+        Verdict::CouldNotRun
+    } else if lost.is_empty() {
+        Verdict::Held
+    } else {
+        Verdict::Broken
     });
 }
