--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -9,7 +9,7 @@
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio, exit};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicI32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -18,6 +18,12 @@
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
+/// A case that runs longer than this ends itself and the sidecar.
+const LONGEST_RUN: Duration = Duration::from_secs(110);
+
+/// The process id of the sidecar, or 0.
+static SIDECAR: AtomicI32 = AtomicI32::new(0);
+
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
 }
@@ -78,6 +84,16 @@
             exit(Verdict::CouldNotRun as i32);
         }
         record.line(format!("the disruption is {}", if trouble { "on" } else { "off (TROUBLE=0)" }));
+        let late = record.clone();
+        thread::spawn(move || {
+            thread::sleep(LONGEST_RUN);
+            let sidecar = SIDECAR.load(Ordering::SeqCst);
+            if sidecar > 0 {
+                unsafe { kill(sidecar, SIGKILL) };
+            }
+            late.line("could not run: the case takes too long");
+            exit(Verdict::CouldNotRun as i32)
+        });
         Case { folder, record, temporary, trouble }
     }
 
@@ -256,6 +272,7 @@
             .stderr(log)
             .process_group(0)
             .spawn()?;
+        SIDECAR.store(child.id() as i32, Ordering::SeqCst);
         case.record.line(format!("started the sidecar with `{command}`, pid {}, callers' address {listen}", child.id()));
         Ok(Sidecar { listen, configuration: path, child, record: case.record.clone() })
     }
@@ -295,6 +312,7 @@
         let until = Instant::now() + time;
         loop {
             if let Ok(Some(status)) = self.child.try_wait() {
+                SIDECAR.store(0, Ordering::SeqCst);
                 self.record.line(format!("the sidecar has ended: {status}"));
                 return true;
             }
@@ -331,6 +349,7 @@
             let _ = self.child.kill();
             let _ = self.child.wait();
         }
+        SIDECAR.store(0, Ordering::SeqCst);
     }
 }
 
