--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -46,6 +46,9 @@
 fn serve(mut stream: TcpStream, record: &Record, name: &str, breaks: bool, runs: &Runs) {
     let _ = stream.set_nodelay(true);
     while let Some(head) = read_head(&mut stream) {
+        if answer_probe(&mut stream, &head) {
+            continue;
+        }
         let id = head.header("x-request-id").unwrap_or("none").to_string();
         if read_body(&mut stream, &head).is_none() {
             return;
@@ -122,6 +125,7 @@
         if !send(&mut stream, &id) {
             continue;
         }
+        record.line(format!("client {number}: has sent request {id}: POST, class confirm"));
         match receive(&mut stream) {
             Outcome::Whole(status) => {
                 record.line(format!("client {number}: whole answer {status} to {id}"));
--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -124,13 +124,14 @@
     pub effect: &'static str,
     pub aim_ms: u64,
     pub deadline_ms: u64,
+    pub worth: u64,
 }
 
 impl Class {
     fn json(&self) -> String {
-        let Class { name, effect, aim_ms, deadline_ms } = self;
+        let Class { name, effect, aim_ms, deadline_ms, worth } = self;
         format!(
-            r#"{{"name":"{name}","effect":"{effect}","keyScope":"all","memorySpanNs":5000000000,"worth":1.0,
+            r#"{{"name":"{name}","effect":"{effect}","keyScope":"all","memorySpanNs":5000000000,"worth":{worth}.0,
    "objectiveNs":{aim_ms}000000,"hardLimitNs":{deadline_ms}000000,"lateShare":0.0,"stream":false}}"#
         )
     }
@@ -148,9 +149,17 @@
     pub cancel: bool,
     pub parallel_tries: bool,
     pub send_cap: u64,
-    /// Which answers carry load reports. The stand-ins send none.
-    pub reports: &'static str,
+    pub probes: bool,
+    pub marks_retry: bool,
+    pub passes_deadline: bool,
+    /// The settings `report`, `fees`, `stages` and `models`, as JSON.
+    pub report: &'static str,
+    pub fees: &'static str,
+    pub stages: &'static str,
+    pub models: &'static str,
     pub drain_grace_ms: u64,
+    pub fall_multiple: f64,
+    pub fall_ms: u64,
     pub memory_mb: u64,
     pub sockets: u64,
 }
@@ -159,10 +168,10 @@
 pub fn seoul_booking() -> Site {
     Site {
         classes: vec![
-            Class { name: "clinic-list", effect: "free", aim_ms: 1_200, deadline_ms: 3_000 },
-            Class { name: "slot-search", effect: "free", aim_ms: 2_500, deadline_ms: 6_000 },
-            Class { name: "hold-slot", effect: "free", aim_ms: 2_500, deadline_ms: 6_000 },
-            Class { name: "confirm", effect: "single_shot", aim_ms: 2_500, deadline_ms: 6_000 },
+            Class { name: "clinic-list", effect: "free", aim_ms: 1_200, deadline_ms: 3_000, worth: 1 },
+            Class { name: "slot-search", effect: "free", aim_ms: 2_500, deadline_ms: 6_000, worth: 1 },
+            Class { name: "hold-slot", effect: "free", aim_ms: 2_500, deadline_ms: 6_000, worth: 5 },
+            Class { name: "confirm", effect: "single_shot", aim_ms: 2_500, deadline_ms: 6_000, worth: 10 },
         ],
         zone: "gasan",
         zones: &["gasan"],
@@ -172,8 +181,16 @@
         cancel: true,
         parallel_tries: true,
         send_cap: 6,
-        reports: "on_probe",
+        probes: true,
+        marks_retry: true,
+        passes_deadline: true,
+        report: r#"{"fields":["load_share","depth"],"how":"on_probe"}"#,
+        fees: r#"{"crossZone":0.0,"waste":0.13,"probe":0.01,"peer":0.0,"lateFail":0.02}"#,
+        stages: r#"["front","slots"]"#,
+        models: r#"["front-2c"]"#,
         drain_grace_ms: 2_000,
+        fall_multiple: 3.0,
+        fall_ms: 2_000,
         memory_mb: 48,
         sockets: 384,
     }
@@ -183,8 +200,8 @@
 pub fn harbour_ledger() -> Site {
     Site {
         classes: vec![
-            Class { name: "read-ledger", effect: "free", aim_ms: 1_500, deadline_ms: 3_500 },
-            Class { name: "post-entry", effect: "single_shot", aim_ms: 1_200, deadline_ms: 4_000 },
+            Class { name: "read-ledger", effect: "free", aim_ms: 1_500, deadline_ms: 3_500, worth: 1 },
+            Class { name: "post-entry", effect: "single_shot", aim_ms: 1_200, deadline_ms: 4_000, worth: 6 },
         ],
         zone: "north-quay",
         zones: &["north-quay", "south-quay", "dry-dock"],
@@ -194,8 +211,16 @@
         cancel: false,
         parallel_tries: false,
         send_cap: 2,
-        reports: "inline",
+        probes: false,
+        marks_retry: false,
+        passes_deadline: false,
+        report: r#"{"fields":["mean_ms","load_share"],"how":"inline"}"#,
+        fees: r#"{"crossZone":0.12,"waste":0.1,"probe":0.01,"peer":0.0,"lateFail":0.08,"handshake":0.05}"#,
+        stages: r#"["gate","ledger"]"#,
+        models: r#"["gate-a","gate-b","gate-c"]"#,
         drain_grace_ms: 2_500,
+        fall_multiple: 2.5,
+        fall_ms: 3_000,
         memory_mb: 48,
         sockets: 384,
     }
@@ -222,23 +247,31 @@
     format!(
         r#"{{"name":"n1","listen":"{listen}","discovery":"{discovery}","seed":"8c1f30d27a5be964",
  "limits":{{"cores":1.0,"memory_mb":{memory},"sockets":{sockets}}},
- "settings":{{"balancers":1,"myNumber":0,"zone":"{zone}","dcs":[{zones}],"tier":0,"stages":["front"],
+ "settings":{{"balancers":1,"myNumber":0,"zone":"{zone}","dcs":[{zones}],"tier":0,"stages":{stages},
   "granularityNs":5000000,"discovery":"{mode}","weightSource":"off","worthBy":"work","overShareWorth":0.1,
-  "customers":[],"fees":{{}},"family":"chain","familyInfo":{{"passesDeadline":true}},"clientHabits":{{"marksRetry":false}},
-  "models":["front-2c"],"report":{{"fields":["depth"],"how":"{reports}"}},
+  "customers":[],"fees":{fees},"family":"chain","familyInfo":{{"passesDeadline":{passes_deadline}}},
+  "clientHabits":{{"marksRetry":{marks_retry}}},"models":{models},"report":{report},
   "scoringMix":{{"whole":0.55,"worstClass":0.3,"worstTenant":0.0,"worstWindow":0.15}},
   "bounds":{{"cancel":{cancel},"connIdleNs":{idle}000000,"connectTimeoutNs":{connect}000000,"cpuUsPerRequest":0.0,
    "cpuUsPerS":500000,"maxOpen":20000,"maxRetryAfterNs":2000000000,"maxStreams":1,"mayTell":false,
-   "parallelTries":{parallel},"probes":false,"retryAfter":true,"sendCap":{send_cap}}},
+   "parallelTries":{parallel},"probes":{probes},"retryAfter":true,"sendCap":{send_cap}}},
   "rules":{{"answerSlackNs":20000000,"askWithinNs":10000000000,"coldFrom":0.16,"drainGraceNs":{grace}000000,
-   "fallMultiple":3.0,"fallNs":2000000000,"warmWithinNs":24000000000}},
+   "fallMultiple":{fall_multiple:?},"fallNs":{fall}000000,"warmWithinNs":24000000000}},
   "categories":[{classes}]}}}}"#,
         memory = site.memory_mb,
         sockets = site.sockets,
         zone = site.zone,
         zones = zones.join(","),
         mode = site.discovery,
-        reports = site.reports,
+        stages = site.stages,
+        fees = site.fees,
+        passes_deadline = site.passes_deadline,
+        marks_retry = site.marks_retry,
+        models = site.models,
+        report = site.report,
+        probes = site.probes,
+        fall_multiple = site.fall_multiple,
+        fall = site.fall_ms,
         cancel = site.cancel,
         idle = site.idle_ms,
         connect = site.connect_timeout_ms,
@@ -461,6 +494,18 @@
     Some(body)
 }
 
+/// Answers a health check with a load report, as an endpoint does where probes are allowed. Returns false for another
+/// request.
+pub fn answer_probe(stream: &mut TcpStream, head: &Head) -> bool {
+    if !head.head.starts_with("GET /status/load ") {
+        return false;
+    }
+    let report = "TEXT util=0.20, queue=0";
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{report}", report.len());
+    let _ = stream.write_all(answer.as_bytes());
+    true
+}
+
 static NEXT_ID: AtomicU64 = AtomicU64::new(1);
 
 /// A request id that was not used before.
