--- a/review/3/main.rs
+++ b/review/3/main.rs
@@ -1,4 +1,4 @@
-//! Case 3: one endpoint of four hangs while clients send bodies of over 64 KiB.
+//! Case 3: one endpoint of twenty hangs while clients send bodies of over 64 KiB.
 
 #[path = "../common/mod.rs"]
 mod common;
@@ -18,18 +18,19 @@
 const SLACK: Duration = Duration::from_millis(550);
 const WORK: Duration = Duration::from_millis(100);
 const CLIENTS: usize = 8;
+const ENDPOINTS: usize = 20;
 
 /// An endpoint. While it hangs, its machine accepts connections and the process reads and answers nothing.
 #[derive(Clone)]
 struct Endpoint {
-    name: &'static str,
+    name: String,
     address: SocketAddr,
     hangs: Arc<AtomicBool>,
     served: Arc<AtomicUsize>,
 }
 
 impl Endpoint {
-    fn start(record: &Record, name: &'static str) -> Self {
+    fn start(record: &Record, name: String) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         let endpoint = Endpoint { name, address, hangs: Arc::default(), served: Arc::default() };
@@ -61,7 +62,7 @@
             thread::sleep(WORK);
             self.wait_while_hanging();
             let text = format!("done {id}");
-            let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+            let answer = format!("HTTP/1.1 200 OK\r\nX-Load: TEXT latency_ms=100, util=0.20\r\nContent-Length: {}\r\n\r\n{text}", text.len());
             if stream.write_all(answer.as_bytes()).is_err() {
                 return;
             }
@@ -72,17 +73,20 @@
 }
 
 /// Sends small requests, so that it shows which endpoints the sidecar uses.
-fn warm_up(listen: SocketAddr) {
+fn warm_up(listen: SocketAddr, record: &Record) {
     let Ok(mut stream) = TcpStream::connect(listen) else { return };
     let _ = stream.set_read_timeout(Some(Duration::from_secs(5)));
     for _ in 0..8 {
+        let id = new_id();
         let request = format!(
-            "GET /api HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: {}\r\nX-Class: read-ledger\r\nX-Deadline: 3.500\r\n\r\n",
-            new_id()
+            "GET /api HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: {id}\r\nX-Class: read-ledger\r\nX-Deadline: 3.500\r\n\r\n"
         );
-        if stream.write_all(request.as_bytes()).is_err() || read_answer(&mut stream).is_none() {
+        if stream.write_all(request.as_bytes()).is_err() {
             return;
         }
+        record.line(format!("first client: has sent request {id}: GET, class read-ledger"));
+        let Some(answer) = read_answer(&mut stream) else { return };
+        record.line(format!("first client: whole answer {} to {id}", answer.status));
     }
 }
 
@@ -123,19 +127,19 @@
 fn main() {
     let case = Case::begin();
     let record = case.record.clone();
-    let endpoints = ["s-1", "s-2", "s-3", "s-4"].map(|name| Endpoint::start(&record, name));
-    let list: Vec<_> = endpoints.iter().map(|endpoint| (endpoint.name, endpoint.address)).collect();
+    let endpoints: Vec<Endpoint> = (1..=ENDPOINTS).map(|number| Endpoint::start(&record, format!("s-{number}"))).collect();
+    let list: Vec<_> = endpoints.iter().map(|endpoint| (&endpoint.name[..], endpoint.address)).collect();
     let site = harbour_ledger();
     let discovery = Discovery::start(&site, &list);
     let (case, sidecar) = start_or_end(case, &site, discovery.address);
-    warm_up(sidecar.listen);
+    warm_up(sidecar.listen, &record);
     thread::sleep(Duration::from_millis(500));
     if case.trouble {
-        // One of the endpoints that the sidecar uses. Any of the four may hang.
+        // One of the endpoints that the sidecar uses. Any of them may hang.
         let hanging = endpoints.iter().max_by_key(|endpoint| endpoint.served.load(Ordering::SeqCst));
         if let Some(endpoint) = hanging {
             endpoint.hangs.store(true, Ordering::SeqCst);
-            record.line(format!("endpoint {} hangs from now on: one of four", endpoint.name));
+            record.line(format!("endpoint {} hangs from now on: one of {ENDPOINTS}", endpoint.name));
         }
     }
     let clients: Vec<_> = (1..=CLIENTS)
