Write what an answer has given before its failure ends the caller's connection

Cause: hyper puts the head and the first bytes into its write buffer and asks the body for more before it writes. If that is an error, it ends the connection and drops the buffer. By strace on the program as it was: 4,043 bytes read from the endpoint, then 0 at the next read, then shutdown of the caller's socket with no write in between; so they were never written, not lost on the way. The last bytes of any answer that breaks off later were dropped in the same way.

Change: the failure of a streamed answer has one exit, StreamedReply, which reports it to hyper once the connection has been flushed, when hyper holds nothing that it could drop. Breaks, stalls and answers over the size limit take it. It moves from reply.rs to a file of its own. The bytes reach the caller, who sees that the answer is not whole: failed, not lost.

--- a/src/sidecar/caller/connection_state.rs
+++ b/src/sidecar/caller/connection_state.rs
@@ -5,6 +5,8 @@
 //!
 //! - `write_blocked_since`: the client does not read what was written. The write timeout takes precedence over the
 //!   deadline of the phase in [`ConnectionState::deadline`].
+//! - `flushes`: the number of times that everything written to the connection so far was passed to the socket. A response
+//!   that breaks off waits for the next one.
 //! - `has_peer_closed`: the client has sent FIN or a reset. hyper may still be answering.
 //! - `persistence`: states whether the connection closes after the next response. Heads, bodies, uploads, shutdowns and
 //!   drains set it. A finished upload restores its earlier value.
@@ -59,6 +61,9 @@
     persistence: Cell<Persistence>,
     has_peer_closed: Cell<bool>,
     write_blocked_since: Cell<Option<Instant>>,
+    flushes: Cell<u64>,
+    /// Wakes the response that waits for the next flush.
+    flush_waker: RefCell<Option<Waker>>,
     is_closing_idle: Cell<bool>,
 }
 
@@ -76,6 +81,8 @@
             persistence: Cell::new(Persistence::KeepAlive),
             has_peer_closed: Cell::new(false),
             write_blocked_since: Cell::new(None),
+            flushes: Cell::new(0),
+            flush_waker: RefCell::new(None),
             is_closing_idle: Cell::new(false),
         })
     }
@@ -183,6 +190,16 @@
         }
     }
 
+    /// Returns how many times everything written to the connection so far was passed to the socket.
+    pub fn flushes(&self) -> u64 {
+        self.flushes.get()
+    }
+
+    /// Registers the waker of a response, which is woken at the next flush.
+    pub fn wake_at_flush(&self, response: &Waker) {
+        *self.flush_waker.borrow_mut() = Some(response.clone());
+    }
+
     fn end_response(&self) {
         let idle_phase = |since| {
             if self.has_received_head.get() {
@@ -272,6 +289,14 @@
         };
         self.write_blocked_since.set(blocked_since);
     }
+
+    /// hyper flushes only after it has passed all of its buffered bytes to the socket.
+    fn on_flush(&self) {
+        self.flushes.set(self.flushes.get() + 1);
+        if let Some(response) = self.flush_waker.take() {
+            response.wake();
+        }
+    }
 }
 
 #[cfg(test)]
--- a/src/sidecar/server/connection.rs
+++ b/src/sidecar/server/connection.rs
@@ -78,7 +78,8 @@
             // The connection is polled first, so that a request that has arrived is read before the other events are
             // handled. The connection is then no longer idle.
             biased;
-            // An error means that the client closed the connection. Dropping its request reports this to the node.
+            // An error means that the client closed the connection, or that the response broke off after its start was
+            // written. Dropping an open request reports its client's disconnect to the node.
             _ = connection.as_mut() => NextStep::Terminate,
             () = client_disconnected.as_mut() => {
                 state.peer_closed();
--- a/src/sidecar/server/mod.rs
+++ b/src/sidecar/server/mod.rs
@@ -10,5 +10,6 @@
 mod request;
 mod request_error;
 mod service;
+mod streamed_reply;
 
 pub use listener::{accept, accept_backlog};
--- a/src/sidecar/server/reply.rs
+++ b/src/sidecar/server/reply.rs
@@ -1,9 +1,8 @@
 //! Responses to callers.
 
+use super::streamed_reply::StreamedReply;
 use crate::sidecar::body::BodyTransferError;
-use crate::sidecar::caller::ConnectionState;
-use crate::sidecar::endpoint::{ResponseBody, StreamedResponse};
-use crate::sidecar::metrics::RequestTracker;
+use crate::sidecar::endpoint::ResponseBody;
 use crate::sidecar::node::FinalAnswer;
 use bytes::Bytes;
 use http_body_util::Full;
@@ -11,7 +10,6 @@
 use hyper::header::{self, HeaderValue};
 use hyper::{Response, StatusCode};
 use std::pin::Pin;
-use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -26,49 +24,6 @@
     Streamed(Box<StreamedReply>),
 }
 
-/// An endpoint's response whose body is streamed to a caller.
-pub struct StreamedReply {
-    response: StreamedResponse,
-    /// Tracks the request's metrics until the body has ended.
-    tracker: Option<RequestTracker>,
-    /// The state of the caller's connection, which is notified when the body has ended.
-    state: Option<Rc<ConnectionState>>,
-}
-
-impl StreamedReply {
-    /// Sets where the end of the body is reported: the request's metrics and the connection's state.
-    pub fn report_end_to(&mut self, tracker: RequestTracker, state: &Rc<ConnectionState>) {
-        self.tracker = Some(tracker);
-        self.state = Some(state.clone());
-    }
-
-    fn poll_frame(
-        &mut self,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyTransferError>>> {
-        let frame = Pin::new(&mut self.response).poll_frame(context);
-        let status = match &frame {
-            Poll::Ready(Some(Err(_))) => Some(StatusCode::BAD_GATEWAY),
-            _ => self.response.is_complete().then_some(StatusCode::OK),
-        };
-        if let Some(status) = status
-            && let Some(tracker) = self.tracker.take()
-        {
-            tracker.end(status);
-        }
-        frame
-    }
-}
-
-/// Reports the end of the stream. hyper drops a body at its end or with its connection.
-impl Drop for StreamedReply {
-    fn drop(&mut self) {
-        if let Some(state) = &self.state {
-            state.stream_ended();
-        }
-    }
-}
-
 impl Body for ReplyBody {
     type Data = Bytes;
     type Error = BodyTransferError;
@@ -88,14 +43,14 @@
     fn is_end_stream(&self) -> bool {
         match self {
             ReplyBody::Complete(body) => body.is_end_stream(),
-            ReplyBody::Streamed(body) => body.response.is_end_stream(),
+            ReplyBody::Streamed(body) => body.is_end_stream(),
         }
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
             ReplyBody::Complete(body) => body.size_hint(),
-            ReplyBody::Streamed(body) => body.response.size_hint(),
+            ReplyBody::Streamed(body) => body.size_hint(),
         }
     }
 }
@@ -107,12 +62,7 @@
             let mut reply = Response::new(match served.body {
                 ResponseBody::Complete(body) => ReplyBody::Complete(Full::new(body)),
                 ResponseBody::Streamed(response) => {
-                    let streamed = StreamedReply {
-                        response: *response,
-                        tracker: None,
-                        state: None,
-                    };
-                    ReplyBody::Streamed(Box::new(streamed))
+                    ReplyBody::Streamed(Box::new(StreamedReply::new(response)))
                 }
             });
             *reply.headers_mut() = served.headers;
--- a/tests/sidecar/large_responses.rs
+++ b/tests/sidecar/large_responses.rs
@@ -177,6 +177,71 @@
     }
 }
 
+/// Guards against a connection that closes without an answer: the part of a response that an endpoint sent before the
+/// response broke off reaches the client, whatever the size of that part.
+#[test]
+fn received_part_of_a_broken_response_is_forwarded() {
+    for framing in ["Content-Length: 3000000", "Transfer-Encoding: chunked"] {
+        let is_chunked = framing.starts_with('T');
+        // A chunked response of up to the limit of buffering is answered with an error status when it breaks off.
+        let part_lengths: &[usize] = if is_chunked {
+            &[66_000, 100_000]
+        } else {
+            &[1, 4_000, 66_000, 100_000]
+        };
+        for &part_length in part_lengths {
+            let endpoint = RawEndpoint::start(move |head, stream| {
+                read_body(head, stream).expect("the request's body");
+                let mut response = format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").into_bytes();
+                let part = pattern(part_length);
+                response.extend(if is_chunked { chunk(&part) } else { part });
+                send(stream, &response);
+                let _ = stream.get_mut().shutdown(Shutdown::Both);
+            });
+            let (sidecar, _discovery) = start_sidecar(&[endpoint.address]);
+            for _ in 0..5 {
+                let mut client = connect(&sidecar);
+                let request = request_head("unsafe", "Content-Length: 2") + "ok";
+                send(&mut client, request.as_bytes());
+                let head = read_head(&mut client)
+                    .unwrap_or_else(|| panic!("{framing}, {part_length} bytes: no answer"));
+                assert_eq!(status(&head), "200");
+                let mut received = Vec::new();
+                let _ = client.read_to_end(&mut received);
+                let expected = pattern(part_length);
+                let is_forwarded = if is_chunked {
+                    // The boundaries of chunks are free.
+                    decode_open_chunks(&received) == expected
+                } else {
+                    received == expected
+                };
+                assert!(
+                    is_forwarded,
+                    "{framing}, {part_length} bytes: {} arrived",
+                    received.len()
+                );
+            }
+            wait_until("the requests are counted", || {
+                sidecar.ended_request_count("failed", "unsafe") == Some(5)
+            });
+            assert_eq!(sidecar.metric("pending"), Some(0));
+        }
+    }
+}
+
+/// Returns the data of chunks after which the connection has ended without the last chunk.
+fn decode_open_chunks(mut encoded: &[u8]) -> Vec<u8> {
+    let mut data = Vec::new();
+    while let Some(end_of_line) = encoded.windows(2).position(|window| window == b"\r\n") {
+        let line = std::str::from_utf8(&encoded[..end_of_line]).expect("a chunk size");
+        let size = usize::from_str_radix(line, 16).expect("a chunk size");
+        assert_ne!(size, 0, "the last chunk would make the response whole");
+        data.extend_from_slice(&encoded[end_of_line + 2..][..size]);
+        encoded = &encoded[end_of_line + 2 + size + 2..];
+    }
+    data
+}
+
 /// If the memory budget leaves no room to buffer a response, it is streamed and arrives complete.
 #[test]
 fn exhausted_memory_budget_streams_responses() {
