Limit the deadline of a streamed body by the shutdown in which it ends

Cause: a shutdown limits a request's deadline when it is submitted. The same held for an upload in the queue.

Change: ShutdownDeadline is the one owner of the time by which a shutdown answers; the table of open requests and each upload share it. It limits a request when its last byte is received, gives up uploads that are open when the time is over, and wakes their tasks when a shutdown begins. A request that the balancer has not answered then gets 503 if it was never sent. The wait for the answer lets attempts that time out at the same moment end first.

--- a/src/sidecar/body/upload.rs
+++ b/src/sidecar/body/upload.rs
@@ -3,6 +3,7 @@
 use super::error::UploadError;
 use super::limits::{MAX_BODY, exceeds_buffer};
 use super::upload_deadline::UploadDeadline;
+use crate::sidecar::shutdown_deadline::ShutdownDeadline;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -10,7 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 /// The maximum time without progress of a streamed request body. It applies to a slow client and a slow endpoint alike.
 const MAX_PAUSE: Duration = Duration::from_secs(6);
@@ -25,13 +26,14 @@
 }
 
 /// Receives a request body until it is complete or too large to be buffered. `started_at` is the time at which the
-/// request's first byte arrived.
+/// request's first byte arrived. `shutdown` limits the time for which an upload may go on.
 ///
 /// # Errors
 /// The body cannot be received.
 pub async fn receive_request_body(
     mut body: Incoming,
     started_at: Instant,
+    shutdown: ShutdownDeadline,
 ) -> Result<ReceivedRequestBody, UploadError> {
     let length = body.size_hint().exact();
     if body.size_hint().lower() > MAX_BODY {
@@ -55,7 +57,7 @@
         buffered.extend_from_slice(&data);
         if exceeds_buffer(length, buffered.len()) {
             let remaining = RemainingUpload { body, deadline };
-            let upload = Upload::new(remaining, length, buffered.len() as u64);
+            let upload = Upload::new(remaining, length, buffered.len() as u64, shutdown);
             return Ok(ReceivedRequestBody {
                 buffered: buffered.freeze(),
                 upload: Some(Rc::new(upload)),
@@ -80,6 +82,7 @@
     finish: Cell<Option<UploadFinish>>,
     /// Notified when `finish` is set.
     finished: Notify,
+    shutdown: ShutdownDeadline,
 }
 
 /// The part of an upload that has not been received yet.
@@ -96,10 +99,17 @@
 struct UploadFinish {
     result: Result<(), UploadError>,
     at: Instant,
+    /// The latest time of the request's answer, if a graceful shutdown had begun before.
+    shutdown_deadline: Option<Instant>,
 }
 
 impl Upload {
-    fn new(remaining: RemainingUpload, length: Option<u64>, received: u64) -> Self {
+    fn new(
+        remaining: RemainingUpload,
+        length: Option<u64>,
+        received: u64,
+        shutdown: ShutdownDeadline,
+    ) -> Self {
         Upload {
             remaining: RefCell::new(Some(remaining)),
             length,
@@ -107,6 +117,7 @@
             last_progress_at: Cell::new(Instant::now()),
             finish: Cell::new(None),
             finished: Notify::new(),
+            shutdown,
         }
     }
 
@@ -168,29 +179,48 @@
         self.finish.set(Some(UploadFinish {
             result,
             at: Instant::now(),
+            shutdown_deadline: self.shutdown.get(),
         }));
         self.finished.notify_waiters();
     }
 
-    /// Returns the current deadline of work that may take `timeout` after the body's last byte. Before the last byte,
-    /// the deadline counts from the last progress.
-    fn deadline(&self, timeout: Duration) -> Instant {
-        match self.completed_at() {
-            Some(completed_at) => completed_at + timeout,
-            None => self.last_progress_at.get() + timeout.max(MAX_PAUSE),
-        }
+    /// Returns the current deadline of a request whose client waits for `time_left` after the body's last byte. Before the
+    /// last byte, the deadline counts from the last progress. A graceful shutdown limits it unless the last byte came
+    /// before the shutdown.
+    fn deadline(&self, time_left: Duration) -> Instant {
+        let (own_deadline, shutdown_deadline) = match self.finish.get() {
+            Some(finish) if finish.result.is_ok() => {
+                (finish.at + time_left, finish.shutdown_deadline)
+            }
+            _ => (
+                self.last_progress_at.get() + time_left.max(MAX_PAUSE),
+                self.shutdown.get(),
+            ),
+        };
+        shutdown_deadline.map_or(own_deadline, |limit| own_deadline.min(limit))
     }
 
-    /// Awaits work that may take `timeout` after the body's last byte. Each progress of the body moves the deadline.
-    /// Returns `None` once the deadline has passed.
-    pub async fn timeout<T>(&self, timeout: Duration, work: impl Future<Output = T>) -> Option<T> {
+    /// Awaits work up to `slack` after the request's deadline. The client waits for `time_left` after the body's last byte.
+    /// Each progress of the body moves the deadline, and the begin of a shutdown may bring it forward. Returns `None`
+    /// once it has passed.
+    pub async fn timeout<T>(
+        &self,
+        time_left: Duration,
+        slack: Duration,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
         let mut work = std::pin::pin!(work);
         loop {
-            let deadline = self.deadline(timeout);
-            match timeout_at(deadline, work.as_mut()).await {
-                Ok(output) => return Some(output),
-                Err(_) if self.deadline(timeout) > deadline => {}
-                Err(_) => return None,
+            let deadline = self.deadline(time_left) + slack;
+            tokio::select! {
+                biased;
+                output = work.as_mut() => return Some(output),
+                () = self.shutdown.wait_until_begun() => {}
+                () = sleep_until(deadline) => {
+                    if self.deadline(time_left) + slack <= deadline {
+                        return None;
+                    }
+                }
             }
         }
     }
--- a/src/sidecar/endpoint/attempt.rs
+++ b/src/sidecar/endpoint/attempt.rs
@@ -12,6 +12,7 @@
 use crate::policy::Outcome;
 use crate::sidecar::body::ReceivedResponse;
 use hyper::StatusCode;
+use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
 /// Makes an attempt and reports its result to the host. Dropping the future closes the attempt's connection.
@@ -134,7 +135,7 @@
         let request = forwarded.to_request(time_left, body);
         let exchange = connection.exchange(request, ExchangeKind::Attempt(&memory));
         match &forwarded.upload {
-            Some(upload) => upload.timeout(time_left, exchange).await,
+            Some(upload) => upload.timeout(time_left, Duration::ZERO, exchange).await,
             None => timeout_at(deadline, exchange).await.ok(),
         }
     }
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -5,7 +5,7 @@
 //!
 //! | layer | files |
 //! | --- | --- |
-//! | foundations | `log.rs`, `admin_state.rs`, `sockets.rs`, `descriptors.rs`, `memory.rs`, `metrics.rs`, `counters.rs` |
+//! | foundations | `log.rs`, `admin_state.rs`, `sockets.rs`, `descriptors.rs`, `memory.rs`, `metrics.rs`, `counters.rs`, `shutdown_deadline.rs` |
 //! | bodies | `body/` |
 //! | connections | `endpoint/`: to endpoints; `caller/`: from callers; `hot_restart/`: to other processes of this sidecar |
 //! | requests and attempts | `node/`: owns their state; nothing else calls the balancer |
@@ -31,6 +31,7 @@
 mod report;
 mod server;
 mod shutdown;
+mod shutdown_deadline;
 mod sockets;
 
 pub(crate) use operators::Command as OperatorCommand;
--- a/src/sidecar/node/open_requests.rs
+++ b/src/sidecar/node/open_requests.rs
@@ -1,8 +1,9 @@
 //! The table of open requests.
 
 use super::open_request::{FinalAnswer, OpenRequest, SubmitError};
-use crate::policy::{Request, RequestId, Timestamp};
+use crate::policy::{Request, RequestId};
 use crate::sidecar::endpoint::ForwardedRequest;
+use crate::sidecar::shutdown_deadline::ShutdownDeadline;
 use std::collections::HashMap;
 use tokio::sync::oneshot;
 
@@ -15,8 +16,7 @@
     requests: HashMap<RequestId, OpenRequest>,
     /// The number of unanswered requests. `requests` also holds answered ones with attempts in flight.
     unanswered: u64,
-    /// Set once a graceful shutdown has begun. Every request that arrives after that is answered by this time.
-    shutdown_deadline: Option<Timestamp>,
+    shutdown_deadline: ShutdownDeadline,
 }
 
 impl OpenRequests {
@@ -58,6 +58,12 @@
         self.get(request).is_some_and(OpenRequest::is_unanswered)
     }
 
+    /// Returns whether no attempt of a request has been started.
+    pub fn is_unattempted(&self, request: &RequestId) -> bool {
+        self.get(request)
+            .is_some_and(|open_request| open_request.next_attempt() == 0)
+    }
+
     /// Returns whether the last attempt of a request timed out.
     pub fn has_timed_out(&self, request: &RequestId) -> bool {
         self.get(request).is_some_and(OpenRequest::has_timed_out)
@@ -84,20 +90,9 @@
         }
     }
 
-    /// Sets the deadline of a graceful shutdown, by which every request that arrives from now on is answered.
-    pub fn set_shutdown_deadline(&mut self, deadline: Timestamp) {
-        self.shutdown_deadline = Some(deadline);
-    }
-
-    /// Returns whether a graceful shutdown has begun.
-    pub fn is_shutting_down(&self) -> bool {
-        self.shutdown_deadline.is_some()
-    }
-
-    /// Returns the earlier of a request's own deadline and the shutdown's deadline, if a shutdown has begun.
-    pub fn limit_deadline(&self, deadline: Timestamp) -> Timestamp {
-        self.shutdown_deadline
-            .map_or(deadline, |shutdown| deadline.min(shutdown))
+    /// Returns the deadline of a graceful shutdown, by which every request that arrives during it is answered.
+    pub fn shutdown_deadline(&self) -> &ShutdownDeadline {
+        &self.shutdown_deadline
     }
 
     fn take_reply(&mut self, request: &RequestId) -> Option<oneshot::Sender<FinalAnswer>> {
--- a/src/sidecar/node/requests.rs
+++ b/src/sidecar/node/requests.rs
@@ -2,10 +2,12 @@
 
 use super::open_request::{FinalAnswer, SubmitError};
 use super::state::{Node, NodeHandle};
+use crate::clock::MAX_TIME_AHEAD;
 use crate::policy::{Event, Request, RequestId, Timestamp};
 use crate::sidecar::endpoint::ForwardedRequest;
 use std::time::Duration;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 impl NodeHandle {
     /// Submits a request to the balancer. Its final answer arrives once, on the returned channel, unless
@@ -49,14 +51,24 @@
         self.borrow().requests.remove_if_finished(request);
     }
 
-    /// Handles a request that the balancer has not answered by its deadline, which is a bug. Withdraws the request from
-    /// the balancer. The calling function gives the client an answer.
-    pub fn deadline_exceeded(&self, request: &RequestId) {
+    /// Handles a request that the balancer has not answered by its deadline. Withdraws the request from the balancer and
+    /// returns its final answer. This happens to queued uploads during a shutdown, which brings their deadlines forward.
+    pub fn deadline_exceeded(&self, request: &RequestId) -> FinalAnswer {
         log!(
             "request {} was not answered by the balancer before its deadline",
             request.0
         );
+        let node = self.borrow();
+        let answer = if node.requests.is_unattempted(request) {
+            FinalAnswer::Rejected {
+                retry_after: node.balancer.retry_after(),
+            }
+        } else {
+            FinalAnswer::Failed { timed_out: true }
+        };
+        drop(node);
         self.client_disconnected(request);
+        answer
     }
 }
 
@@ -75,6 +87,8 @@
     /// Returns the deadline of a request whose client waits for `time_left` from now. During a graceful shutdown, it is
     /// no later than the shutdown's deadline.
     pub fn request_deadline(&self, time_left: Duration) -> Timestamp {
-        self.requests.limit_deadline(self.clock.now() + time_left)
+        let deadline = Instant::now() + time_left.min(MAX_TIME_AHEAD);
+        let shutdown = self.requests.shutdown_deadline();
+        self.clock.timestamp(shutdown.limit(deadline))
     }
 }
--- a/src/sidecar/node/state.rs
+++ b/src/sidecar/node/state.rs
@@ -15,10 +15,12 @@
 use crate::sidecar::hot_restart::SharedDirectory;
 use crate::sidecar::memory::MemoryBudget;
 use crate::sidecar::metrics::{Metrics, RequestTracker};
+use crate::sidecar::shutdown_deadline::ShutdownDeadline;
 use std::cell::{RefCell, RefMut};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// The divisor of the process's memory that gives the budget of callers' request bodies.
 const REQUEST_MEMORY_DIVISOR: usize = 4;
@@ -233,8 +235,12 @@
 
     /// Begins a graceful shutdown. Every request that arrives from now on is answered within `time`.
     pub fn begin_shutdown(&mut self, time: Duration) {
-        let deadline = self.clock.now() + time;
-        self.requests.set_shutdown_deadline(deadline);
+        self.shutdown_deadline().begin(Instant::now() + time);
+    }
+
+    /// Returns the deadline of a graceful shutdown.
+    pub fn shutdown_deadline(&self) -> &ShutdownDeadline {
+        self.requests.shutdown_deadline()
     }
 
     /// Returns an endpoint's administrative state, which the operators set.
@@ -252,7 +258,7 @@
     pub fn is_ready(&self) -> bool {
         let is_enabled = |endpoint: &EndpointId| !self.balancer.is_disabled(endpoint);
         self.endpoints.serving().any(is_enabled)
-            && !self.requests.is_shutting_down()
+            && self.shutdown_deadline().get().is_none()
             && !self.endpoints.awaits_first_list(self.clock.now())
             && self.callers().drain_state().is_none()
     }
--- a/src/sidecar/server/forward.rs
+++ b/src/sidecar/server/forward.rs
@@ -63,7 +63,8 @@
         return Ok(caller.reject_early());
     };
     let persistence = caller.state.persistence();
-    let received = receive_request_body(body, started_at).await?;
+    let shutdown = node.borrow().shutdown_deadline().clone();
+    let received = receive_request_body(body, started_at, shutdown).await?;
     if received.upload.is_none() {
         tracker.mark_received();
     }
@@ -84,7 +85,7 @@
                 .await?
         }
     };
-    Ok(pending.reply(answer))
+    Ok(pending.reply(answer).await)
 }
 
 /// Reserves the maximum memory that buffering a body takes.
--- a/src/sidecar/server/parsed_request.rs
+++ b/src/sidecar/server/parsed_request.rs
@@ -74,7 +74,8 @@
         let answer_deadline = node.borrow().clock().instant(self.request.deadline) + slack;
         ResponseTimeout {
             answer_deadline,
-            after_upload: self.time_left + slack,
+            time_left: self.time_left,
+            slack,
             persistence,
         }
     }
--- a/src/sidecar/server/pending_request.rs
+++ b/src/sidecar/server/pending_request.rs
@@ -1,7 +1,7 @@
 //! Requests that the node has accepted, and the wait for their final answers.
 
 use super::caller_connection::CallerConnection;
-use super::reply::{Reply, final_reply, text_reply};
+use super::reply::{Reply, final_reply};
 use super::request_error::RequestError;
 use crate::policy::{Request as PolicyRequest, RequestId};
 use crate::sidecar::body::Upload;
@@ -9,11 +9,11 @@
 use crate::sidecar::endpoint::ForwardedRequest;
 use crate::sidecar::metrics::RequestTracker;
 use crate::sidecar::node::{FinalAnswer, NodeHandle, SubmitError};
-use hyper::StatusCode;
 use std::pin::pin;
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::sync::oneshot::error::TryRecvError;
+use tokio::task::yield_now;
 use tokio::time::{Instant, timeout_at};
 
 /// A request that waits for its final answer.
@@ -43,13 +43,15 @@
     }
 
     /// Returns the response for the answer. Without an answer, reports to the node that the deadline has passed, and
-    /// returns the response for a timeout.
-    pub fn reply(&self, answer: Option<FinalAnswer>) -> Reply {
+    /// returns the response for the answer that the node then gives.
+    pub async fn reply(&mut self, answer: Option<FinalAnswer>) -> Reply {
         if let Some(answer) = answer {
             return final_reply(answer);
         }
-        self.node.deadline_exceeded(&self.id);
-        text_reply(StatusCode::GATEWAY_TIMEOUT, "no answer in time")
+        // Attempts end at the deadline too. Their tasks may be behind this one.
+        yield_now().await;
+        let answer = self.answer.try_recv();
+        final_reply(answer.unwrap_or_else(|_| self.node.deadline_exceeded(&self.id)))
     }
 }
 
@@ -69,8 +71,10 @@
 pub struct ResponseTimeout {
     /// The end of the wait for a request that was received completely before it was submitted.
     pub answer_deadline: Instant,
-    /// The time to wait after the last byte of an upload.
-    pub after_upload: Duration,
+    /// The time for which the client waits after the last byte of an upload.
+    pub time_left: Duration,
+    /// The time after the deadline for which the answer is still awaited.
+    pub slack: Duration,
     /// The connection's persistence once the upload is complete.
     pub persistence: Persistence,
 }
@@ -95,7 +99,7 @@
         // After an early response, the start of the next request is not known, because the body was not read to its
         // end.
         caller.state.set_persistence(Persistence::Close);
-        let answer = pin!(upload.timeout(self.after_upload, answer));
+        let answer = pin!(upload.timeout(self.time_left, self.slack, answer));
         let upload_failure = async {
             if let Err(error) = upload.wait_until_finished().await {
                 return error;
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -28,5 +28,6 @@
 mod requests;
 mod settings_isolation;
 mod shutdown_races;
+mod streamed_deadlines;
 mod stubs;
 mod warming_endpoint;
--- a/tests/sidecar/stubs/scripted_endpoint.rs
+++ b/tests/sidecar/stubs/scripted_endpoint.rs
@@ -58,7 +58,12 @@
     endpoints: &[&Endpoint],
     deadline: Duration,
 ) -> Value {
-    let mut config = with_admin_address(config(discovery.address, &serving_entries(endpoints)));
+    let config = with_admin_address(config(discovery.address, &serving_entries(endpoints)));
+    with_deadline(config, deadline)
+}
+
+/// Gives all classes of a configuration this deadline.
+pub fn with_deadline(mut config: Value, deadline: Duration) -> Value {
     let classes = config["settings"]["categories"]
         .as_array_mut()
         .expect("a list");
