Count the deadline of a streamed body from the arrival of its last byte

With 60 kB the answer is in time.

Cause: until a streamed body is complete, its deadline allows a pause of 6 s, and the wait looked again only when that was over: the endpoint's kernel takes the 100 kB at once, and each answer came 6.00 s after its request. On a related path, the last byte counted when it was read; where the endpoint does not read, it waits in the kernel, and each part that was taken moved the deadline.

Change: RequestDeadline is the only owner of the deadline; the wait for the answer and the attempt use it. It wakes them when the body is complete, and compares what has arrived, read or not, with the request's end. CallerConnection holds its socket for that.

--- a/src/sidecar/body/mod.rs
+++ b/src/sidecar/body/mod.rs
@@ -11,6 +11,7 @@
 mod error;
 mod frames;
 mod limits;
+mod request_deadline;
 mod upload;
 mod upload_deadline;
 
@@ -18,4 +19,5 @@
 pub use error::{BodyTransferError, UploadError};
 pub use frames::poll_data;
 pub use limits::{MAX_BODY, buffer_size};
+pub use request_deadline::{ConnectionArrival, RequestDeadline};
 pub use upload::{ReceivedRequestBody, RemainingUpload, Upload, receive_request_body};
--- a/src/sidecar/body/upload.rs
+++ b/src/sidecar/body/upload.rs
@@ -2,8 +2,8 @@
 
 use super::error::UploadError;
 use super::limits::{MAX_BODY, exceeds_buffer};
+use super::request_deadline::RequestDeadline;
 use super::upload_deadline::UploadDeadline;
-use crate::sidecar::shutdown_deadline::ShutdownDeadline;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -11,10 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::time::{Instant, sleep_until, timeout_at};
-
-/// The maximum time without progress of a streamed request body. It applies to a slow client and a slow endpoint alike.
-const MAX_PAUSE: Duration = Duration::from_secs(6);
+use tokio::time::{Instant, timeout_at};
 
 /// The received part of a request body.
 #[derive(Debug)]
@@ -26,14 +23,14 @@
 }
 
 /// Receives a request body until it is complete or too large to be buffered. `started_at` is the time at which the
-/// request's first byte arrived. `shutdown` limits the time for which an upload may go on.
+/// request's first byte arrived. `request_deadline` creates the deadline of a request whose body is streamed.
 ///
 /// # Errors
 /// The body cannot be received.
 pub async fn receive_request_body(
     mut body: Incoming,
     started_at: Instant,
-    shutdown: ShutdownDeadline,
+    request_deadline: impl FnOnce() -> RequestDeadline,
 ) -> Result<ReceivedRequestBody, UploadError> {
     let length = body.size_hint().exact();
     if body.size_hint().lower() > MAX_BODY {
@@ -57,7 +54,8 @@
         buffered.extend_from_slice(&data);
         if exceeds_buffer(length, buffered.len()) {
             let remaining = RemainingUpload { body, deadline };
-            let upload = Upload::new(remaining, length, buffered.len() as u64, shutdown);
+            let received = buffered.len() as u64;
+            let upload = Upload::new(remaining, length, received, request_deadline());
             return Ok(ReceivedRequestBody {
                 buffered: buffered.freeze(),
                 upload: Some(Rc::new(upload)),
@@ -76,13 +74,12 @@
     length: Option<u64>,
     /// The number of bytes received so far.
     received: Cell<u64>,
-    /// The time at which the attempt started, or at which bytes were last received.
-    last_progress_at: Cell<Instant>,
     /// Set once the body is complete or has failed.
     finish: Cell<Option<UploadFinish>>,
     /// Notified when `finish` is set.
     finished: Notify,
-    shutdown: ShutdownDeadline,
+    /// The deadline of the request.
+    deadline: RequestDeadline,
 }
 
 /// The part of an upload that has not been received yet.
@@ -99,8 +96,6 @@
 struct UploadFinish {
     result: Result<(), UploadError>,
     at: Instant,
-    /// The latest time of the request's answer, if a graceful shutdown had begun before.
-    shutdown_deadline: Option<Instant>,
 }
 
 impl Upload {
@@ -108,16 +103,15 @@
         remaining: RemainingUpload,
         length: Option<u64>,
         received: u64,
-        shutdown: ShutdownDeadline,
+        deadline: RequestDeadline,
     ) -> Self {
         Upload {
             remaining: RefCell::new(Some(remaining)),
             length,
             received: Cell::new(received),
-            last_progress_at: Cell::new(Instant::now()),
             finish: Cell::new(None),
             finished: Notify::new(),
-            shutdown,
+            deadline,
         }
     }
 
@@ -157,7 +151,12 @@
 
     /// Records that an attempt with this body starts. The time without progress is measured from then on.
     pub fn on_attempt_started(&self) {
-        self.last_progress_at.set(Instant::now());
+        self.deadline.on_progress();
+    }
+
+    /// Records that everything that the client has sent so far was received.
+    pub fn on_client_awaited(&self) {
+        self.deadline.on_client_awaited();
     }
 
     /// Records that `bytes` bytes were received and are being forwarded.
@@ -165,7 +164,7 @@
     /// # Errors
     /// [`UploadError::TooLarge`] if the body has become larger than [`MAX_BODY`].
     pub fn on_received(&self, bytes: usize) -> Result<(), UploadError> {
-        self.last_progress_at.set(Instant::now());
+        self.deadline.on_progress();
         self.received.set(self.received.get() + bytes as u64);
         if self.received.get() <= MAX_BODY {
             Ok(())
@@ -179,50 +178,22 @@
         self.finish.set(Some(UploadFinish {
             result,
             at: Instant::now(),
-            shutdown_deadline: self.shutdown.get(),
         }));
+        if result.is_ok() {
+            self.deadline.on_body_complete();
+        }
         self.finished.notify_waiters();
     }
 
-    /// Returns the current deadline of a request whose client waits for `time_left` after the body's last byte. Before the
-    /// last byte, the deadline counts from the last progress. A graceful shutdown limits it unless the last byte came
-    /// before the shutdown.
-    fn deadline(&self, time_left: Duration) -> Instant {
-        let (own_deadline, shutdown_deadline) = match self.finish.get() {
-            Some(finish) if finish.result.is_ok() => {
-                (finish.at + time_left, finish.shutdown_deadline)
-            }
-            _ => (
-                self.last_progress_at.get() + time_left.max(MAX_PAUSE),
-                self.shutdown.get(),
-            ),
-        };
-        shutdown_deadline.map_or(own_deadline, |limit| own_deadline.min(limit))
-    }
-
-    /// Awaits work up to `slack` after the request's deadline. The client waits for `time_left` after the body's last byte.
-    /// Each progress of the body moves the deadline, and the begin of a shutdown may bring it forward. Returns `None`
-    /// once it has passed.
+    /// Awaits work up to `slack` after the request's deadline, which is `time_left` after the body's last byte. Returns
+    /// `None` once that has passed.
     pub async fn timeout<T>(
         &self,
         time_left: Duration,
         slack: Duration,
         work: impl Future<Output = T>,
     ) -> Option<T> {
-        let mut work = std::pin::pin!(work);
-        loop {
-            let deadline = self.deadline(time_left) + slack;
-            tokio::select! {
-                biased;
-                output = work.as_mut() => return Some(output),
-                () = self.shutdown.wait_until_begun() => {}
-                () = sleep_until(deadline) => {
-                    if self.deadline(time_left) + slack <= deadline {
-                        return None;
-                    }
-                }
-            }
-        }
+        self.deadline.timeout(time_left, slack, work).await
     }
 
     /// Waits until the body is complete.
--- a/src/sidecar/caller/connection_state.rs
+++ b/src/sidecar/caller/connection_state.rs
@@ -5,6 +5,7 @@
 //!
 //! - `write_blocked_since`: the client does not read what was written. The write timeout takes precedence over the
 //!   deadline of the phase in [`ConnectionState::deadline`].
+//! - `bytes_read` and `request_end`: the reader's position in the connection's bytes, and that of the current request's end.
 //! - `flushes`: the number of times that everything written to the connection so far was passed to the socket. A response
 //!   that breaks off waits for the next one.
 //! - `has_peer_closed`: the client has sent FIN or a reset. hyper may still be answering.
@@ -55,6 +56,10 @@
     /// The time of acceptance, or of the last read from the socket apart from reads of forwarded bodies.
     last_byte_at: Cell<Instant>,
     has_received_head: Cell<bool>,
+    /// The number of bytes that the reader has read from the socket.
+    bytes_read: Cell<u64>,
+    /// The value of `bytes_read` at the end of the current request. `None` if the request's length is not declared.
+    request_end: Cell<Option<u64>>,
     /// Wakes the reader, which reads the next request only once the response is ready.
     reader_waker: RefCell<Option<Waker>>,
     head_error: Cell<Option<HeadError>>,
@@ -76,6 +81,8 @@
             phase: Cell::new(Phase::AwaitingFirstHead { since: now }),
             last_byte_at: Cell::new(now),
             has_received_head: Cell::new(false),
+            bytes_read: Cell::new(0),
+            request_end: Cell::new(None),
             reader_waker: RefCell::new(None),
             head_error: Cell::new(None),
             persistence: Cell::new(Persistence::KeepAlive),
@@ -115,6 +122,28 @@
 
     // ---- The reader's events --------------------------------------------------------------------------------
 
+    /// Counts bytes that the reader has read from the socket.
+    pub fn count_read(&self, bytes: usize) {
+        self.bytes_read.set(self.bytes_read.get() + bytes as u64);
+    }
+
+    /// Returns how many bytes the reader has read from the socket.
+    pub fn bytes_read(&self) -> u64 {
+        self.bytes_read.get()
+    }
+
+    /// Sets how many bytes the reader has read when the current request is complete. `None` if the request's length is not
+    /// declared.
+    pub fn set_request_end(&self, end: Option<u64>) {
+        self.request_end.set(end);
+    }
+
+    /// Returns how many bytes the reader has read when the current request is complete. `None` if the request's length is
+    /// not declared.
+    pub fn request_end(&self) -> Option<u64> {
+        self.request_end.get()
+    }
+
     /// Records that the reader has read from the socket while it was not forwarding a body. Zero bytes mean that the
     /// client has sent FIN.
     pub fn bytes_received(&self, bytes: usize) {
--- a/src/sidecar/caller/mod.rs
+++ b/src/sidecar/caller/mod.rs
@@ -3,6 +3,7 @@
 //! [`RequestReader`] validates request heads as they arrive. [`ConnectionState`] tracks the phase of each connection.
 //! [`CallerTable`] decides which connections close.
 
+mod arrival;
 mod connection_state;
 mod drain_state;
 mod head;
@@ -11,6 +12,7 @@
 mod request_reader;
 mod table;
 
+pub use arrival::CallerArrival;
 pub use connection_state::{ConnectionState, ResponseKind};
 pub use drain_state::DrainState;
 pub use head::HeadError;
--- a/src/sidecar/caller/request_reader.rs
+++ b/src/sidecar/caller/request_reader.rs
@@ -104,10 +104,13 @@
                 None
             }
             HeadValidation::KnownLength(remaining) => {
+                let position = self.connection.bytes_read() - self.unread.len() as u64;
+                self.connection.set_request_end(Some(position + remaining));
                 Some(self.forward_head(ReadMode::Forwarding { remaining }))
             }
             HeadValidation::Chunked => {
                 self.connection.set_persistence(Persistence::Close);
+                self.connection.set_request_end(None);
                 Some(self.forward_head(ReadMode::ForwardingAll))
             }
             HeadValidation::Malformed | HeadValidation::MalformedPrefix => {
@@ -153,6 +156,7 @@
             self.unread = Vec::new(); // frees the buffer, because most connections are idle most of the time
         }
         let received = ready!(read)?;
+        self.connection.count_read(received);
         self.connection.bytes_received(received);
         Poll::Ready(Ok(if received == 0 {
             ReceivePoll::EndOfStream
@@ -189,6 +193,7 @@
         ready!(sockets::poll_read(&self.stream, context, &mut limited))?;
         let count = limited.filled().len();
         buffer.advance(count);
+        self.connection.count_read(count);
         if count == 0 {
             self.connection.peer_closed();
         }
--- a/src/sidecar/endpoint/request_body.rs
+++ b/src/sidecar/endpoint/request_body.rs
@@ -75,6 +75,7 @@
         };
         let Poll::Ready(received) = poll_remaining(remaining, &mut self.deadline_timer, context)
         else {
+            self.upload.on_client_awaited();
             return Poll::Pending;
         };
         let forwarded = received.and_then(|data| match data {
--- a/src/sidecar/server/caller_connection.rs
+++ b/src/sidecar/server/caller_connection.rs
@@ -1,10 +1,12 @@
 //! The context in which the requests of one caller's connection are answered.
 
 use super::reply::{Reply, rejected};
-use crate::sidecar::caller::{Admission, ConnectionState};
+use crate::sidecar::body::RequestDeadline;
+use crate::sidecar::caller::{Admission, CallerArrival, ConnectionState};
 use crate::sidecar::descriptors::DescriptorPermit;
 use crate::sidecar::node::NodeHandle;
 use std::rc::Rc;
+use tokio::net::TcpStream;
 
 /// One caller's connection. It stays in the table of callers until this is dropped.
 pub struct CallerConnection {
@@ -12,6 +14,8 @@
     pub node: NodeHandle,
     /// The connection's number in the table.
     pub number: u64,
+    /// The connection's socket.
+    pub stream: Rc<TcpStream>,
     /// The connection's state.
     pub state: Rc<ConnectionState>,
     /// Tells whether the connection's requests are served or rejected.
@@ -27,6 +31,13 @@
 }
 
 impl CallerConnection {
+    /// Returns the deadline of the connection's current request, whose body is streamed.
+    pub fn upload_deadline(&self) -> RequestDeadline {
+        let arrival = CallerArrival::new(self.stream.clone(), self.state.clone());
+        let shutdown = self.node.borrow().shutdown_deadline().clone();
+        RequestDeadline::new(Rc::new(arrival), shutdown)
+    }
+
     /// Returns whether the connection's requests are rejected because there are no descriptors for it.
     pub fn is_rejected_early(&self) -> bool {
         self.admission == Admission::RejectedEarly
--- a/src/sidecar/server/connection.rs
+++ b/src/sidecar/server/connection.rs
@@ -38,29 +38,18 @@
 }
 
 /// Serves a connection until it ends. A notification through `close` requests that it closes.
-pub async fn serve(
-    caller: CallerConnection,
-    stream: TcpStream,
-    close: Rc<Notify>,
-    persistence: Persistence,
-) {
+pub async fn serve(caller: CallerConnection, close: Rc<Notify>, persistence: Persistence) {
+    let (stream, state) = (&caller.stream, &caller.state);
     let _ = stream.set_nodelay(true); // a failure only delays responses
-    let stream = Rc::new(stream);
-    serve_requests(&caller, &stream, &close, persistence).await;
-    let state = &caller.state;
+    serve_requests(&caller, &close, persistence).await;
     if !state.has_peer_closed() && !state.is_closing_idle() {
-        let _ = sockets::shutdown_write(&stream); // sends FIN, because some clients read the response up to it
-        lingering_close(&stream, state, &close).await;
+        let _ = sockets::shutdown_write(stream); // sends FIN, because some clients read the response up to it
+        lingering_close(stream, state, &close).await;
     }
 }
 
-async fn serve_requests(
-    caller: &CallerConnection,
-    stream: &Rc<TcpStream>,
-    close: &Notify,
-    persistence: Persistence,
-) {
-    let state = &*caller.state;
+async fn serve_requests(caller: &CallerConnection, close: &Notify, persistence: Persistence) {
+    let (stream, state) = (&caller.stream, &*caller.state);
     let service =
         service_fn(async |request| Ok::<Reply, Infallible>(caller.serve_one(request).await));
     let reader = RequestReader::new(stream.clone(), caller.state.clone());
--- a/src/sidecar/server/forward.rs
+++ b/src/sidecar/server/forward.rs
@@ -63,8 +63,7 @@
         return Ok(caller.reject_early());
     };
     let persistence = caller.state.persistence();
-    let shutdown = node.borrow().shutdown_deadline().clone();
-    let received = receive_request_body(body, started_at, shutdown).await?;
+    let received = receive_request_body(body, started_at, || caller.upload_deadline()).await?;
     if received.upload.is_none() {
         tracker.mark_received();
     }
--- a/src/sidecar/server/listener.rs
+++ b/src/sidecar/server/listener.rs
@@ -3,6 +3,7 @@
 use super::caller_connection::CallerConnection;
 use super::connection;
 use crate::sidecar::node::NodeHandle;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, yield_now};
@@ -62,10 +63,11 @@
     let connection = CallerConnection {
         node: node.clone(),
         number: added.number,
+        stream: Rc::new(stream),
         state: added.state,
         admission: admitted.admission,
         _permit: admitted.permit,
     };
-    let served = connection::serve(connection, stream, added.close, added.persistence);
+    let served = connection::serve(connection, added.close, added.persistence);
     spawn_local(served);
 }
--- a/src/sidecar/sockets.rs
+++ b/src/sidecar/sockets.rs
@@ -64,6 +64,11 @@
     peek(stream).is_ok_and(|count| count > 0)
 }
 
+/// Returns how many received bytes are unread. Asks the kernel, because the runtime is notified later.
+pub fn unread_bytes(stream: &TcpStream) -> u64 {
+    rustix::io::ioctl_fionread(stream).unwrap_or_default() // fails only for what is not a connection
+}
+
 /// The state of a connection's receiving side.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SocketState {
--- a/tests/sidecar/streamed_deadlines.rs
+++ b/tests/sidecar/streamed_deadlines.rs
@@ -119,3 +119,59 @@
         read_head(&mut queued_upload).unwrap_or_else(|| panic!("no answer: {:?}", sidecar.log()));
     assert_eq!(status(&head), "503", "it was not sent");
 }
+
+/// Returns the head of a request whose class has a long deadline, and whose client waits for this number of seconds.
+fn unsafe_request_head(seconds: u64, framing: &str) -> String {
+    request_head("unsafe", framing).replace("X-Deadline: 15", &format!("X-Deadline: {seconds}"))
+}
+
+/// Sends a small request whose client waits for some seconds longer than the other client of a test.
+fn send_control_request(sidecar: &Sidecar) -> BufferedStream {
+    let mut client = connect(sidecar);
+    let request = unsafe_request_head(4, "Content-Length: 2") + "ok";
+    send(&mut client, request.as_bytes());
+    client
+}
+
+/// Checks that an upload, whose client waits for 1 s, has its answer when the control request gets its own after 4 s.
+fn assert_answered_before(upload: &mut BufferedStream, control: &mut BufferedStream, name: &str) {
+    let control_head = read_head(control).expect("an answer");
+    assert_eq!(status(&control_head), "504", "{name}");
+    upload
+        .get_mut()
+        .set_nonblocking(true)
+        .expect("the mode is set");
+    let upload_head = read_head(upload).unwrap_or_else(|| panic!("{name}: no answer"));
+    assert!(
+        ["503", "504"].contains(&status(&upload_head)),
+        "{name}: {upload_head}"
+    );
+}
+
+/// Returns the framing header and the bytes of a body.
+fn encode_body(length: usize, is_chunked: bool) -> (String, Vec<u8>) {
+    let body = pattern(length);
+    if is_chunked {
+        let encoded = [chunk(&body), b"0\r\n\r\n".to_vec()].concat();
+        ("Transfer-Encoding: chunked".into(), encoded)
+    } else {
+        (format!("Content-Length: {length}"), body)
+    }
+}
+
+/// Guards against answers that come after the client's time because the wait for them had begun before the end of the
+/// upload: the endpoint takes the whole body and does not respond.
+#[test]
+fn complete_upload_is_answered_at_its_deadline() {
+    for is_chunked in [false, true] {
+        let endpoint = endpoint_without_response();
+        let (sidecar, _discovery) = start_sidecar(&[endpoint.address]);
+        let mut control = send_control_request(&sidecar);
+        endpoint.next_head();
+        let (framing, body) = encode_body(BODY_LENGTH, is_chunked);
+        let mut upload = connect(&sidecar);
+        send(&mut upload, unsafe_request_head(1, &framing).as_bytes());
+        send(&mut upload, &body);
+        assert_answered_before(&mut upload, &mut control, &framing);
+    }
+}
