Give flushes, read positions and the streamed deadline types of their own

Cause: the state of a caller's connection had grown by three facts with seven methods, and Upload repeated the signature of the deadline's wait; the tests of large bodies started their sidecars in two ways.

Change: FlushCounter and ReadPosition are types of their own, Upload hands out its RequestDeadline, and start_sidecar_with takes a change of the configuration. No behaviour changes.

--- a/src/sidecar/body/upload.rs
+++ b/src/sidecar/body/upload.rs
@@ -9,7 +9,6 @@
 use hyper::body::{Body, Incoming};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout_at};
 
@@ -149,14 +148,9 @@
         self.finish.get().is_some()
     }
 
-    /// Records that an attempt with this body starts. The time without progress is measured from then on.
-    pub fn on_attempt_started(&self) {
-        self.deadline.on_progress();
-    }
-
-    /// Records that everything that the client has sent so far was received.
-    pub fn on_client_awaited(&self) {
-        self.deadline.on_client_awaited();
+    /// Returns the deadline of the request.
+    pub fn deadline(&self) -> &RequestDeadline {
+        &self.deadline
     }
 
     /// Records that `bytes` bytes were received and are being forwarded.
@@ -185,17 +179,6 @@
         self.finished.notify_waiters();
     }
 
-    /// Awaits work up to `slack` after the request's deadline, which is `time_left` after the body's last byte. Returns
-    /// `None` once that has passed.
-    pub async fn timeout<T>(
-        &self,
-        time_left: Duration,
-        slack: Duration,
-        work: impl Future<Output = T>,
-    ) -> Option<T> {
-        self.deadline.timeout(time_left, slack, work).await
-    }
-
     /// Waits until the body is complete.
     ///
     /// # Errors
--- a/src/sidecar/caller/arrival.rs
+++ b/src/sidecar/caller/arrival.rs
@@ -22,11 +22,11 @@
 
 impl ConnectionArrival for CallerArrival {
     fn arrived_bytes(&self) -> u64 {
-        self.connection.bytes_read() + sockets::unread_bytes(&self.stream)
+        self.connection.read_position().bytes_read() + sockets::unread_bytes(&self.stream)
     }
 
     fn request_end(&self) -> Option<u64> {
-        self.connection.request_end()
+        self.connection.read_position().request_end()
     }
 }
 
--- a/src/sidecar/caller/connection_state.rs
+++ b/src/sidecar/caller/connection_state.rs
@@ -5,9 +5,8 @@
 //!
 //! - `write_blocked_since`: the client does not read what was written. The write timeout takes precedence over the
 //!   deadline of the phase in [`ConnectionState::deadline`].
-//! - `bytes_read` and `request_end`: the reader's position in the connection's bytes, and that of the current request's end.
-//! - `flushes`: the number of times that everything written to the connection so far was passed to the socket. A response
-//!   that breaks off waits for the next one.
+//! - `read_position`: the reader's position in the connection's bytes, and the end of the current request.
+//! - `flushes`: a response that breaks off waits for the next flush.
 //! - `has_peer_closed`: the client has sent FIN or a reset. hyper may still be answering.
 //! - `persistence`: states whether the connection closes after the next response. Heads, bodies, uploads, shutdowns and
 //!   drains set it. A finished upload restores its earlier value.
@@ -17,9 +16,11 @@
 //!   requests. Until then, the connection can be in any phase.
 //! - `has_received_head`: selects [`Phase::Idle`] or [`Phase::AwaitingFirstHead`] after an error response.
 
+use super::flush_counter::FlushCounter;
 use super::head::HeadError;
 use super::persistence::Persistence;
 use super::phase::Phase;
+use super::read_position::ReadPosition;
 use crate::sidecar::sockets::WriteObserver;
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -56,19 +57,14 @@
     /// The time of acceptance, or of the last read from the socket apart from reads of forwarded bodies.
     last_byte_at: Cell<Instant>,
     has_received_head: Cell<bool>,
-    /// The number of bytes that the reader has read from the socket.
-    bytes_read: Cell<u64>,
-    /// The value of `bytes_read` at the end of the current request. `None` if the request's length is not declared.
-    request_end: Cell<Option<u64>>,
+    read_position: ReadPosition,
     /// Wakes the reader, which reads the next request only once the response is ready.
     reader_waker: RefCell<Option<Waker>>,
     head_error: Cell<Option<HeadError>>,
     persistence: Cell<Persistence>,
     has_peer_closed: Cell<bool>,
     write_blocked_since: Cell<Option<Instant>>,
-    flushes: Cell<u64>,
-    /// Wakes the response that waits for the next flush.
-    flush_waker: RefCell<Option<Waker>>,
+    flushes: FlushCounter,
     is_closing_idle: Cell<bool>,
 }
 
@@ -81,15 +77,13 @@
             phase: Cell::new(Phase::AwaitingFirstHead { since: now }),
             last_byte_at: Cell::new(now),
             has_received_head: Cell::new(false),
-            bytes_read: Cell::new(0),
-            request_end: Cell::new(None),
+            read_position: ReadPosition::default(),
             reader_waker: RefCell::new(None),
             head_error: Cell::new(None),
             persistence: Cell::new(Persistence::KeepAlive),
             has_peer_closed: Cell::new(false),
             write_blocked_since: Cell::new(None),
-            flushes: Cell::new(0),
-            flush_waker: RefCell::new(None),
+            flushes: FlushCounter::default(),
             is_closing_idle: Cell::new(false),
         })
     }
@@ -122,26 +116,9 @@
 
     // ---- The reader's events --------------------------------------------------------------------------------
 
-    /// Counts bytes that the reader has read from the socket.
-    pub fn count_read(&self, bytes: usize) {
-        self.bytes_read.set(self.bytes_read.get() + bytes as u64);
-    }
-
-    /// Returns how many bytes the reader has read from the socket.
-    pub fn bytes_read(&self) -> u64 {
-        self.bytes_read.get()
-    }
-
-    /// Sets how many bytes the reader has read when the current request is complete. `None` if the request's length is not
-    /// declared.
-    pub fn set_request_end(&self, end: Option<u64>) {
-        self.request_end.set(end);
-    }
-
-    /// Returns how many bytes the reader has read when the current request is complete. `None` if the request's length is
-    /// not declared.
-    pub fn request_end(&self) -> Option<u64> {
-        self.request_end.get()
+    /// Returns the reader's position in the connection's bytes.
+    pub fn read_position(&self) -> &ReadPosition {
+        &self.read_position
     }
 
     /// Records that the reader has read from the socket while it was not forwarding a body. Zero bytes mean that the
@@ -219,14 +196,9 @@
         }
     }
 
-    /// Returns how many times everything written to the connection so far was passed to the socket.
-    pub fn flushes(&self) -> u64 {
-        self.flushes.get()
-    }
-
-    /// Registers the waker of a response, which is woken at the next flush.
-    pub fn wake_at_flush(&self, response: &Waker) {
-        *self.flush_waker.borrow_mut() = Some(response.clone());
+    /// Returns the count of the connection's flushes.
+    pub fn flushes(&self) -> &FlushCounter {
+        &self.flushes
     }
 
     fn end_response(&self) {
@@ -321,10 +293,7 @@
 
     /// hyper flushes only after it has passed all of its buffered bytes to the socket.
     fn on_flush(&self) {
-        self.flushes.set(self.flushes.get() + 1);
-        if let Some(response) = self.flush_waker.take() {
-            response.wake();
-        }
+        self.flushes.on_flush();
     }
 }
 
--- a/src/sidecar/caller/mod.rs
+++ b/src/sidecar/caller/mod.rs
@@ -6,9 +6,11 @@
 mod arrival;
 mod connection_state;
 mod drain_state;
+mod flush_counter;
 mod head;
 mod persistence;
 mod phase;
+mod read_position;
 mod request_reader;
 mod table;
 
--- a/src/sidecar/caller/request_reader.rs
+++ b/src/sidecar/caller/request_reader.rs
@@ -104,13 +104,14 @@
                 None
             }
             HeadValidation::KnownLength(remaining) => {
-                let position = self.connection.bytes_read() - self.unread.len() as u64;
-                self.connection.set_request_end(Some(position + remaining));
+                let position = self.connection.read_position();
+                let head_start = position.bytes_read() - self.unread.len() as u64;
+                position.set_request_end(Some(head_start + remaining));
                 Some(self.forward_head(ReadMode::Forwarding { remaining }))
             }
             HeadValidation::Chunked => {
                 self.connection.set_persistence(Persistence::Close);
-                self.connection.set_request_end(None);
+                self.connection.read_position().set_request_end(None);
                 Some(self.forward_head(ReadMode::ForwardingAll))
             }
             HeadValidation::Malformed | HeadValidation::MalformedPrefix => {
@@ -156,7 +157,7 @@
             self.unread = Vec::new(); // frees the buffer, because most connections are idle most of the time
         }
         let received = ready!(read)?;
-        self.connection.count_read(received);
+        self.connection.read_position().advance(received);
         self.connection.bytes_received(received);
         Poll::Ready(Ok(if received == 0 {
             ReceivePoll::EndOfStream
@@ -193,7 +194,7 @@
         ready!(sockets::poll_read(&self.stream, context, &mut limited))?;
         let count = limited.filled().len();
         buffer.advance(count);
-        self.connection.count_read(count);
+        self.connection.read_position().advance(count);
         if count == 0 {
             self.connection.peer_closed();
         }
--- a/src/sidecar/endpoint/attempt.rs
+++ b/src/sidecar/endpoint/attempt.rs
@@ -135,7 +135,12 @@
         let request = forwarded.to_request(time_left, body);
         let exchange = connection.exchange(request, ExchangeKind::Attempt(&memory));
         match &forwarded.upload {
-            Some(upload) => upload.timeout(time_left, Duration::ZERO, exchange).await,
+            Some(upload) => {
+                upload
+                    .deadline()
+                    .timeout(time_left, Duration::ZERO, exchange)
+                    .await
+            }
             None => timeout_at(deadline, exchange).await.ok(),
         }
     }
--- a/src/sidecar/endpoint/request_body.rs
+++ b/src/sidecar/endpoint/request_body.rs
@@ -48,7 +48,7 @@
 
 impl UploadSource {
     fn new(buffered: Bytes, upload: Rc<Upload>) -> Self {
-        upload.on_attempt_started();
+        upload.deadline().on_progress();
         UploadSource {
             buffered: Some(buffered),
             upload,
@@ -75,7 +75,7 @@
         };
         let Poll::Ready(received) = poll_remaining(remaining, &mut self.deadline_timer, context)
         else {
-            self.upload.on_client_awaited();
+            self.upload.deadline().on_client_awaited();
             return Poll::Pending;
         };
         let forwarded = received.and_then(|data| match data {
--- a/src/sidecar/server/pending_request.rs
+++ b/src/sidecar/server/pending_request.rs
@@ -99,7 +99,11 @@
         // After an early response, the start of the next request is not known, because the body was not read to its
         // end.
         caller.state.set_persistence(Persistence::Close);
-        let answer = pin!(upload.timeout(self.time_left, self.slack, answer));
+        let answer = pin!(
+            upload
+                .deadline()
+                .timeout(self.time_left, self.slack, answer)
+        );
         let upload_failure = async {
             if let Err(error) = upload.wait_until_finished().await {
                 return error;
--- a/src/sidecar/server/streamed_reply.rs
+++ b/src/sidecar/server/streamed_reply.rs
@@ -9,7 +9,7 @@
 use hyper::body::{Body, Frame, SizeHint};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 
 type FramePoll = Poll<Option<Result<Frame<Bytes>, BodyTransferError>>>;
 
@@ -75,7 +75,10 @@
     fn fail(&mut self, error: BodyTransferError) {
         self.source = Source::Failed {
             error: Some(error),
-            flushes: self.state.as_ref().map_or(0, |state| state.flushes()),
+            flushes: self
+                .state
+                .as_ref()
+                .map_or(0, |state| state.flushes().count()),
             remaining: self.size_hint(),
         };
         self.end_tracking(StatusCode::BAD_GATEWAY);
@@ -86,11 +89,8 @@
         let Source::Failed { error, flushes, .. } = &mut self.source else {
             return Poll::Pending;
         };
-        if let Some(state) = &self.state
-            && state.flushes() <= *flushes
-        {
-            state.wake_at_flush(context.waker());
-            return Poll::Pending;
+        if let Some(state) = &self.state {
+            ready!(state.flushes().poll_more_than(*flushes, context));
         }
         Poll::Ready(error.take().map(Err))
     }
--- a/tests/sidecar/streamed_deadlines.rs
+++ b/tests/sidecar/streamed_deadlines.rs
@@ -28,15 +28,7 @@
     endpoints: &[SocketAddr],
     deadline: Duration,
 ) -> (Sidecar, Discovery) {
-    let discovery = Discovery::start();
-    let entries: Vec<_> = endpoints
-        .iter()
-        .enumerate()
-        .map(|(number, address)| list_entry(&format!("e{number}"), *address, "SERVING"))
-        .collect();
-    let config = with_admin_address(config(discovery.address, &entries));
-    let sidecar = Sidecar::start(&with_deadline(config, deadline));
-    (sidecar, discovery)
+    start_sidecar_with(endpoints, |config| with_deadline(config, deadline))
 }
 
 /// Sends a request without the last byte of its body.
--- a/tests/sidecar/stubs/raw_http.rs
+++ b/tests/sidecar/stubs/raw_http.rs
@@ -5,6 +5,7 @@
 use super::discovery::*;
 use super::message::*;
 use super::program::*;
+use serde_json::Value;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -116,13 +117,21 @@
 /// Starts a sidecar with endpoints at these addresses in its cached list, and a stub of discovery that writes no list
 /// by itself.
 pub fn start_sidecar(addresses: &[SocketAddr]) -> (Sidecar, Discovery) {
+    start_sidecar_with(addresses, |config| config)
+}
+
+/// Starts a sidecar as [`start_sidecar`] does, with a configuration that `change` has changed.
+pub fn start_sidecar_with(
+    addresses: &[SocketAddr],
+    change: impl FnOnce(Value) -> Value,
+) -> (Sidecar, Discovery) {
     let discovery = Discovery::start();
     let entries: Vec<_> = addresses
         .iter()
         .enumerate()
         .map(|(number, address)| list_entry(&format!("e{number}"), *address, "SERVING"))
         .collect();
-    let config = with_admin_address(config(discovery.address, &entries));
+    let config = change(with_admin_address(config(discovery.address, &entries)));
     (Sidecar::start(&config), discovery)
 }
 
