Count the arrival of a streamed body from the first look after it

Cause: the arrival counted from the last look before it, up to 0.1 s early.

Change: it counts from the first look after it, and looks come every 0.2 s, so an answer is up to 0.2 s late, of the half second that is allowed where no endpoint answers.

--- a/src/sidecar/body/request_deadline.rs
+++ b/src/sidecar/body/request_deadline.rs
@@ -11,8 +11,9 @@
 
 /// The maximum time without progress of a streamed request body. It applies to a slow client and a slow endpoint alike.
 const MAX_PAUSE: Duration = Duration::from_secs(6);
-/// The interval at which a wait looks for bytes that have arrived and not been read.
-const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// The interval at which a wait looks for bytes that have arrived and not been read. An answer may be late by it, and may
+/// be half a second late at most.
+const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
 /// What has arrived on a caller's connection, whether it has been read or waits in the kernel.
 pub trait ConnectionArrival: fmt::Debug {
@@ -35,9 +36,9 @@
     last_progress_at: Cell<Instant>,
     /// True while everything that has arrived was read, so that the client has to send more.
     awaits_client: Cell<bool>,
-    /// The time of the last look at the connection, and the number of bytes that had arrived by then.
-    last_check: Cell<ArrivalCheck>,
-    /// The time at which bytes were last known not to have arrived that have arrived since.
+    /// The number of bytes that had arrived at the last look at the connection.
+    arrived_bytes: Cell<u64>,
+    /// The time of the first look at which the last of these bytes had arrived.
     last_arrival_at: Cell<Instant>,
     /// Set once the last byte has arrived.
     completion: Cell<Option<Completion>>,
@@ -45,12 +46,6 @@
     completed: Notify,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct ArrivalCheck {
-    at: Instant,
-    arrived_bytes: u64,
-}
-
 /// The arrival of a body's last byte.
 #[derive(Clone, Copy, Debug)]
 struct Completion {
@@ -63,16 +58,13 @@
     /// Creates the deadline of a request whose body is still arriving.
     pub fn new(arrival: Rc<dyn ConnectionArrival>, shutdown: ShutdownDeadline) -> Self {
         let now = Instant::now();
-        let check = ArrivalCheck {
-            at: now,
-            arrived_bytes: arrival.arrived_bytes(),
-        };
+        let arrived_bytes = arrival.arrived_bytes();
         RequestDeadline {
             arrival,
             shutdown,
             last_progress_at: Cell::new(now),
             awaits_client: Cell::new(false),
-            last_check: Cell::new(check),
+            arrived_bytes: Cell::new(arrived_bytes),
             last_arrival_at: Cell::new(now),
             completion: Cell::new(None),
             completed: Notify::new(),
@@ -90,35 +82,27 @@
         self.awaits_client.set(true);
     }
 
-    /// Records that the body's last byte was read, and wakes the tasks that wait.
+    /// Records that the body's last byte has arrived, and wakes the tasks that wait.
     pub fn on_body_complete(&self) {
-        self.complete(Instant::now());
-    }
-
-    fn complete(&self, at: Instant) {
         if self.completion.get().is_none() {
             self.completion.set(Some(Completion {
-                at,
+                at: Instant::now(),
                 shutdown_deadline: self.shutdown.get(),
             }));
             self.completed.notify_waiters();
         }
     }
 
-    /// Looks for bytes that have arrived since the last look. They count from that look, so that the client does not
-    /// wait too long for its answer.
+    /// Looks for bytes that have arrived since the last look. They count from now, so that an endpoint that takes them in
+    /// time is not given up early.
     fn check_arrival(&self) {
-        let check = ArrivalCheck {
-            at: Instant::now(),
-            arrived_bytes: self.arrival.arrived_bytes(),
-        };
-        let previous = self.last_check.replace(check);
-        if check.arrived_bytes > previous.arrived_bytes {
-            self.last_arrival_at.set(previous.at);
+        let arrived_bytes = self.arrival.arrived_bytes();
+        if arrived_bytes > self.arrived_bytes.replace(arrived_bytes) {
+            self.last_arrival_at.set(Instant::now());
         }
         let request_end = self.arrival.request_end();
-        if request_end.is_some_and(|end| check.arrived_bytes >= end) {
-            self.complete(previous.at);
+        if request_end.is_some_and(|end| arrived_bytes >= end) {
+            self.on_body_complete();
         }
     }
 
