Reset a request that arrives while a modelled endpoint hangs, also after it resumes

Cause: fleet-lab's endpoint counts a request on arrival and looked only after its work whether it hangs. A resume in between let it be answered.

Change: the endpoint also looks when the request arrives; one that came during the hang is reset at the resume, as documented.

--- a/fleet-lab/src/endpoint/connection.rs
+++ b/fleet-lab/src/endpoint/connection.rs
@@ -156,10 +156,12 @@
                 }
                 None => return Ok(Ending::Closed),
             };
+            // A request that arrives while the endpoint hangs is not answered, also if the endpoint has resumed since.
+            let is_hanging_at_arrival = endpoint.state.is_hanging();
             let Some(response) = self.handle_request(&endpoint, &request).await else {
                 return Ok(Ending::Closed);
             };
-            if endpoint.state.is_hanging() {
+            if is_hanging_at_arrival || endpoint.state.is_hanging() {
                 return self.hang().await;
             }
             endpoint.count_response(response);
--- a/fleet-lab/tests/endpoint.rs
+++ b/fleet-lab/tests/endpoint.rs
@@ -312,6 +312,30 @@
     assert!(endpoint.restart().is_err());
 }
 
+/// Guards against an answer to a request that arrived while the endpoint hung, and was still in work when it resumed.
+#[test]
+fn request_that_arrives_while_an_endpoint_hangs_is_reset() {
+    let host = start_host();
+    let service_time = ServiceTime::Fixed {
+        milliseconds: 200.0,
+    };
+    let options = EndpointOptions {
+        service_time,
+        ..options()
+    };
+    let endpoint = add_endpoint(&host, options, None);
+    endpoint.hang();
+    let mut pending = Connection::open(endpoint.entry().address);
+    pending.send(&get_request("1f"));
+    wait_until("request read", TIMEOUT, || endpoint.usage().requests == 1);
+    endpoint.resume();
+    assert_eq!(
+        pending.receive().err().unwrap().kind(),
+        io::ErrorKind::ConnectionReset
+    );
+    assert_eq!(endpoint.usage().served, 0);
+}
+
 /// Resuming resets the connections with a pending request and keeps the idle ones.
 #[test]
 fn hanging_endpoint_does_not_respond_until_resumed() {
