--- a/review/common-2/lab.rs
+++ b/review/common-2/lab.rs
@@ -29,6 +29,11 @@
 }
 
 impl Record {
+    /// A record that keeps nothing.
+    pub fn quiet() -> Record {
+        Record::new(Path::new("/dev/null"))
+    }
+
     pub fn new(path: &Path) -> Record {
         let file =
             File::create(path).unwrap_or_else(|error| unable(&format!("record.txt: {error}")));
@@ -107,6 +112,14 @@
     entries: Vec<Entry>,
     /// Every change, with its version.
     changes: Vec<(u64, Entry)>,
+    /// The number of watches that were opened.
+    watches: usize,
+    /// Watches up to this number tell nothing more.
+    silent_up_to: usize,
+    /// The calls a second that are answered, if that is limited, and how long a call waits in turn.
+    capacity: Option<(f64, Duration)>,
+    /// The time at which the next call can be answered.
+    free_at: Instant,
 }
 
 /// A discovery service. Heartbeats come every 2 s on a watch.
@@ -132,6 +145,10 @@
             index: 41,
             entries,
             changes: Vec::new(),
+            watches: 0,
+            silent_up_to: 0,
+            capacity: None,
+            free_at: Instant::now(),
         };
         let discovery = Discovery {
             address: listener.local_addr().unwrap(),
@@ -167,12 +184,55 @@
         self.state.1.notify_all();
     }
 
+    /// Answers so many calls a second, in turn. A call that would wait longer than `patience` ends in 503 after it.
+    pub fn limit_calls(&self, calls_per_second: f64, patience: Duration) {
+        self.state.0.lock().unwrap().capacity = Some((calls_per_second, patience));
+    }
+
+    /// All watches that are open fall silent. They stay open.
+    pub fn silence_watches(&self) {
+        let mut state = self.state.0.lock().unwrap();
+        state.silent_up_to = state.watches;
+    }
+
+    /// Returns how many watches were opened.
+    pub fn watches(&self) -> usize {
+        self.state.0.lock().unwrap().watches
+    }
+
+    /// Waits for a call's turn. Returns false if the call has waited too long.
+    fn wait_for_turn(&self) -> bool {
+        let (wait, is_served) = {
+            let mut state = self.state.0.lock().unwrap();
+            let Some((rate, patience)) = state.capacity else {
+                return true;
+            };
+            let start = state.free_at.max(Instant::now());
+            let end = start + Duration::from_secs_f64(1.0 / rate);
+            let wait = end - Instant::now();
+            if start - Instant::now() > patience {
+                (patience, false)
+            } else {
+                state.free_at = end;
+                (wait, true)
+            }
+        };
+        thread::sleep(wait);
+        is_served
+    }
+
     fn serve(&self, mut stream: TcpStream, record: &Record) -> std::io::Result<()> {
         let _ = stream.set_nodelay(true);
         let mut reader = Reader::new(stream.try_clone()?);
         while let Some(head) = reader.head()? {
             let path = head.first.split(' ').nth(1).unwrap_or("").to_string();
             record.line(&format!("discovery is asked for {path}"));
+            if !self.wait_for_turn() {
+                record.line(&format!("discovery answers 503 to {path}"));
+                stream
+                    .write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")?;
+                continue;
+            }
             if !path.contains("follow=1") {
                 let body = self.full_list();
                 write!(
@@ -192,8 +252,17 @@
     }
 
     fn watch(&self, mut stream: TcpStream, mut known: u64) -> std::io::Result<()> {
+        let number = {
+            let mut state = self.state.0.lock().unwrap();
+            state.watches += 1;
+            state.watches
+        };
         stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
         loop {
+            if number <= self.state.0.lock().unwrap().silent_up_to {
+                let _ = stream.read(&mut [0; 16]); // until the sidecar closes it
+                return Ok(());
+            }
             let text = {
                 let guard = self.state.0.lock().unwrap();
                 let has_news = |state: &mut ListState| state.index <= known;
@@ -202,6 +271,9 @@
                     .1
                     .wait_timeout_while(guard, Duration::from_secs(2), has_news)
                     .unwrap();
+                if number <= state.silent_up_to {
+                    continue;
+                }
                 let new = state.changes.iter().filter(|(index, _)| *index > known);
                 let new: Vec<Entry> = new.map(|(_, entry)| entry.clone()).collect();
                 if new.is_empty() {
@@ -619,7 +691,7 @@
     pub fn start_at(record: &Record, options: &SidecarOptions<'_>, listen: SocketAddr) -> Sidecar {
         let folder = temporary_folder();
         let admin = free_address();
-        let shared = folder.join("tmp");
+        let shared = folder.join(format!("tmp-{}", listen.port()));
         std::fs::create_dir_all(&shared).unwrap_or_else(|e| unable(&format!("TMPDIR: {e}")));
         let configuration = write_configuration(&folder, "n0", listen, admin, options);
         let log = folder.join(format!("log-{}.txt", admin.port()));
--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -2,6 +2,7 @@
 //! Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod case_shutdown;
+mod case_silence;
 mod case_slow_answer;
 mod lab;
 
@@ -22,6 +23,7 @@
     ));
     let is_broken = match case.as_str() {
         "shutdown" => case_shutdown::run(&record, has_trouble),
+        "silence" => case_silence::run(&record, has_trouble),
         "slow-answer" => case_slow_answer::run(&record, has_trouble),
         _ => lab::unable("unknown case"),
     };
