Review case 9: many slow readers of long answers take the sidecar over its memory

Cause: the memory of answers that are being streamed is not counted, about 100 kB for each slow client.

--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of the second review: `lab CASE RECORD`. TROUBLE=0 leaves the disruption out.
 //! Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
+mod case_memory;
 mod case_shutdown;
 mod case_silence;
 mod case_slow_answer;
@@ -25,6 +26,7 @@
         "shutdown" => case_shutdown::run(&record, has_trouble),
         "silence" => case_silence::run(&record, has_trouble),
         "slow-answer" => case_slow_answer::run(&record, has_trouble),
+        "memory" => case_memory::run(&record, has_trouble),
         _ => lab::unable("unknown case"),
     };
     record.line(if is_broken {
