--- a/review/common-2/case_silence.rs
+++ b/review/common-2/case_silence.rs
@@ -2,13 +2,13 @@
 
 use crate::lab::*;
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
 /// The sidecars of the deployment, all of which ask one discovery.
-const SIDECARS: usize = 14;
+const SIDECARS: usize = 18;
 const ENDPOINTS: usize = 6;
 const CLIENTS_PER_SIDECAR: usize = 3;
 /// The capacity of discovery and the time that a call waits in turn, from the site file.
@@ -19,7 +19,6 @@
 const GRACE: f64 = 2.05;
 /// A margin of the judge for its own lateness.
 const MARGIN: f64 = 0.15;
-const NONE: usize = usize::MAX;
 
 struct Run {
     at: f64,
@@ -29,31 +28,27 @@
 
 pub fn run(record: &Record, has_trouble: bool) -> bool {
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
-    let stopped = Arc::new(AtomicUsize::new(NONE));
+    let processes: Vec<EndpointProcess> =
+        (0..ENDPOINTS).map(|_| EndpointProcess::default()).collect();
     let quiet = Record::quiet();
     let start = |number: usize| {
-        let (runs, record, stopped) = (runs.clone(), record.clone(), stopped.clone());
-        let has_ended = move || {
-            if stopped.load(Ordering::SeqCst) == number {
-                return Err(std::io::Error::other("the endpoint's process has ended"));
-            }
-            Ok(())
-        };
+        let (runs, log) = (runs.clone(), record.clone());
         let answer = move |arrived: &Arrived, stream: &mut std::net::TcpStream| {
-            has_ended()?;
             let id = arrived.id.clone();
             runs.lock().unwrap().push(Run {
-                at: record.now(),
+                at: log.now(),
                 id,
                 endpoint: number,
             });
-            for _ in 0..30 {
-                thread::sleep(WORK / 30);
-                has_ended()?;
-            }
+            thread::sleep(WORK);
             answer_at_once(stream, &answer_body(&arrived.id, 300))
         };
-        start_endpoint(&format!("s-{number}"), &quiet, Arc::new(answer))
+        start_endpoint_process(
+            &format!("s-{number}"),
+            &quiet,
+            &processes[number],
+            Arc::new(answer),
+        )
     };
     let entries: Vec<Entry> = (0..ENDPOINTS).map(start).collect();
     let discovery = Discovery::start(entries.clone(), record);
@@ -75,6 +70,7 @@
     ];
     let options = SidecarOptions {
         discovery: &discovery,
+        known: discovery.full_list(),
         classes: &classes,
         memory_mb: 48,
         sockets: 384,
@@ -158,7 +154,7 @@
     while record.now() < silent_at + 6.0 + GRACE + 1.0 {
         thread::sleep(Duration::from_millis(10));
     }
-    stopped.store(draining, Ordering::SeqCst);
+    processes[draining].end();
     record.line(&format!(
         "platform: s-{draining} has drained for {:.1} s, and its process ends",
         record.now() - silent_at - 0.5
