--- a/review/common-2/case_memory.rs
+++ b/review/common-2/case_memory.rs
@@ -44,6 +44,7 @@
     }];
     let options = SidecarOptions {
         discovery: &discovery,
+        known: discovery.full_list(),
         classes: &classes,
         memory_mb: MEMORY_MB,
         sockets: SOCKETS,
--- a/review/common-2/case_shutdown.rs
+++ b/review/common-2/case_shutdown.rs
@@ -55,6 +55,7 @@
     ];
     let options = SidecarOptions {
         discovery: &discovery,
+        known: discovery.full_list(),
         classes: &classes,
         memory_mb: 48,
         sockets: 384,
--- a/review/common-2/lab.rs
+++ b/review/common-2/lab.rs
@@ -10,6 +10,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -112,6 +113,8 @@
     entries: Vec<Entry>,
     /// Every change, with its version.
     changes: Vec<(u64, Entry)>,
+    /// New connections are refused, and no watch is open.
+    is_down: bool,
     /// The number of watches that were opened.
     watches: usize,
     /// Watches up to this number tell nothing more.
@@ -145,6 +148,7 @@
             index: 41,
             entries,
             changes: Vec::new(),
+            is_down: false,
             watches: 0,
             silent_up_to: 0,
             capacity: None,
@@ -156,11 +160,27 @@
         };
         let (served, record) = (discovery.clone(), record.clone());
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (served, record) = (served.clone(), record.clone());
-                thread::spawn(move || {
-                    let _ = served.serve(stream, &record);
-                });
+            let address = served.address;
+            let mut listener = Some(listener);
+            loop {
+                if served.is_down() {
+                    listener = None; // new connections are refused
+                }
+                thread::sleep(Duration::from_millis(1));
+                let Some(open) = &listener else {
+                    if !served.is_down() {
+                        listener = TcpListener::bind(address).ok();
+                    }
+                    continue;
+                };
+                let _ = open.set_nonblocking(true);
+                while let Ok((stream, _)) = open.accept() {
+                    let _ = stream.set_nonblocking(false);
+                    let (served, record) = (served.clone(), record.clone());
+                    thread::spawn(move || {
+                        let _ = served.serve(stream, &record);
+                    });
+                }
             }
         });
         discovery
@@ -189,6 +209,23 @@
         self.state.0.lock().unwrap().capacity = Some((calls_per_second, patience));
     }
 
+    /// Goes down for a time: its watches end, and new connections are refused.
+    pub fn go_down_for(&self, time: Duration, record: &Record) {
+        self.state.0.lock().unwrap().is_down = true;
+        self.state.1.notify_all();
+        record.line("discovery goes down: its watches end, and new connections are refused");
+        let (discovery, record) = (self.clone(), record.clone());
+        thread::spawn(move || {
+            thread::sleep(time);
+            discovery.state.0.lock().unwrap().is_down = false;
+            record.line("discovery is back");
+        });
+    }
+
+    fn is_down(&self) -> bool {
+        self.state.0.lock().unwrap().is_down
+    }
+
     /// All watches that are open fall silent. They stay open.
     pub fn silence_watches(&self) {
         let mut state = self.state.0.lock().unwrap();
@@ -265,12 +302,15 @@
             }
             let text = {
                 let guard = self.state.0.lock().unwrap();
-                let has_news = |state: &mut ListState| state.index <= known;
+                let has_news = |state: &mut ListState| state.index <= known && !state.is_down;
                 let (state, _) = self
                     .state
                     .1
                     .wait_timeout_while(guard, Duration::from_secs(2), has_news)
                     .unwrap();
+                if state.is_down {
+                    return Ok(());
+                }
                 if number <= state.silent_up_to {
                     continue;
                 }
@@ -413,19 +453,57 @@
 /// Answers one request on its connection. An error ends the connection.
 pub type Answer = dyn Fn(&Arrived, &mut TcpStream) -> std::io::Result<()> + Send + Sync;
 
-/// Starts an endpoint that answers every request by `answer`. Probes get a report of an idle machine.
+/// The process of an endpoint, which can end. Its connections then end, and new ones are refused.
+#[derive(Clone, Default)]
+pub struct EndpointProcess(Arc<(AtomicBool, Mutex<Vec<TcpStream>>)>);
+
+impl EndpointProcess {
+    pub fn has_ended(&self) -> bool {
+        self.0.0.load(Ordering::SeqCst)
+    }
+
+    pub fn end(&self) {
+        self.0.0.store(true, Ordering::SeqCst);
+        for stream in self.0.1.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
+/// Starts an endpoint that answers every request by `answer` and never ends.
 pub fn start_endpoint(name: &str, record: &Record, answer: Arc<Answer>) -> Entry {
+    start_endpoint_process(name, record, &EndpointProcess::default(), answer)
+}
+
+/// Starts an endpoint that answers every request by `answer`. Probes get the report of an idle machine.
+pub fn start_endpoint_process(
+    name: &str,
+    record: &Record,
+    process: &EndpointProcess,
+    answer: Arc<Answer>,
+) -> Entry {
     let listener =
         TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| unable(&format!("bind: {e}")));
     let address = listener.local_addr().unwrap();
-    let (label, record) = (name.to_string(), record.clone());
+    let _ = listener.set_nonblocking(true);
+    let (label, record, process) = (name.to_string(), record.clone(), process.clone());
     thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
+        while !process.has_ended() {
+            let Ok((stream, _)) = listener.accept() else {
+                thread::sleep(Duration::from_millis(1));
+                continue;
+            };
+            let _ = stream.set_nonblocking(false);
+            if let Ok(clone) = stream.try_clone() {
+                process.0.1.lock().unwrap().push(clone);
+            }
             let (label, record, answer) = (label.clone(), record.clone(), answer.clone());
             thread::spawn(move || {
-                let _ = serve_endpoint(stream, &label, &record, &*answer);
+                let _ = serve_endpoint(&stream, &label, &record, &*answer);
+                let _ = stream.shutdown(std::net::Shutdown::Both);
             });
         }
+        drop(listener); // new connections are refused
     });
     Entry {
         name: name.to_string(),
@@ -436,12 +514,13 @@
 }
 
 fn serve_endpoint(
-    mut stream: TcpStream,
+    stream: &TcpStream,
     name: &str,
     record: &Record,
     answer: &Answer,
 ) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
+    let mut stream = stream.try_clone()?;
     let mut reader = Reader::new(stream.try_clone()?);
     while let Some(head) = reader.head()? {
         if head.first.starts_with("GET /status/load") || head.first.starts_with("GET /health") {
@@ -456,7 +535,7 @@
         let mut body_length = 0;
         reader.body(&head, &mut |part| body_length += part.len())?;
         let id = head.header("x-request-id").to_string();
-        let class = head.header("x-class").to_string();
+        let class = head.header("x-class");
         record.line(&format!(
             "endpoint {name} has request {id} ({class}) whole and runs it"
         ));
@@ -594,6 +673,8 @@
 
 pub struct SidecarOptions<'a> {
     pub discovery: &'a Discovery,
+    /// The list that the configuration has as `known`.
+    pub known: String,
     pub classes: &'a [ClassSettings],
     pub memory_mb: u32,
     pub sockets: u32,
@@ -673,7 +754,7 @@
         options.discovery.address,
         options.memory_mb,
         options.sockets,
-        options.discovery.full_list(),
+        options.known,
         settings(options.classes)
     );
     let path = folder.join(format!("config-{}.json", admin.port()));
--- a/review/common-2/main.rs
+++ b/review/common-2/main.rs
@@ -5,6 +5,7 @@
 mod case_shutdown;
 mod case_silence;
 mod case_slow_answer;
+mod case_upgrade;
 mod lab;
 
 use std::path::Path;
@@ -23,6 +24,7 @@
         if has_trouble { "with" } else { "without" }
     ));
     let is_broken = match case.as_str() {
+        "upgrade" => case_upgrade::run(&record, has_trouble),
         "shutdown" => case_shutdown::run(&record, has_trouble),
         "silence" => case_silence::run(&record, has_trouble),
         "slow-answer" => case_slow_answer::run(&record, has_trouble),
