--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -8,4 +8,10 @@
 CASE_FOLDER=$(mktemp -d) || exit 2
 export CASE_FOLDER
 trap 'rm -rf "$CASE_FOLDER"' EXIT
-target/review-2/lab memory review/10/record.txt
+target/review-2/lab memory review/10/record.txt &
+lab=$!
+trap 'kill "$lab" 2>/dev/null; wait "$lab"; exit 2' HUP INT TERM
+wait "$lab"
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
--- a/review/common-2/case_memory.rs
+++ b/review/common-2/case_memory.rs
@@ -15,6 +15,8 @@
 const LENGTH: usize = 4 << 20;
 const PIECE: usize = 8 << 10;
 const ENDPOINTS: usize = 4;
+/// The rate of a slow client, in bytes a second.
+const READ_RATE: f64 = 64_000.0;
 const DURATION: Duration = Duration::from_secs(20);
 
 pub fn run(record: &Record, has_trouble: bool) -> bool {
@@ -103,12 +105,8 @@
     if stream.write_all(head.as_bytes()).is_err() {
         return "failed";
     }
-    // 64 kB a second for a slow client
-    let (mut buffer, pause) = if is_slow {
-        (vec![0; 6_400], 100)
-    } else {
-        (vec![0; 1 << 16], 0)
-    };
+    let mut buffer = vec![0; if is_slow { 6_400 } else { 1 << 16 }];
+    let start = Instant::now();
     let mut total = 0;
     while total < LENGTH {
         match stream.read(&mut buffer) {
@@ -119,7 +117,10 @@
         if is_over.load(Ordering::SeqCst) {
             return "being read";
         }
-        thread::sleep(Duration::from_millis(pause));
+        if is_slow {
+            let due = Duration::from_secs_f64(total as f64 / READ_RATE);
+            thread::sleep(due.saturating_sub(start.elapsed()));
+        }
     }
     "whole"
 }
--- a/review/common-2/case_shutdown.rs
+++ b/review/common-2/case_shutdown.rs
@@ -7,7 +7,7 @@
 use std::thread;
 use std::time::Duration;
 
-const LENGTH: usize = 32 << 20;
+const LENGTH: usize = 32_000_000;
 const PART: usize = 64 << 10;
 /// 2.1 MB a second.
 const PAUSE: Duration = Duration::from_millis(30);
--- a/review/common-2/case_slow_answer.rs
+++ b/review/common-2/case_slow_answer.rs
@@ -4,10 +4,12 @@
 use std::io::Write;
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+/// The client waits for all of its class's deadline.
+const DEADLINE: f64 = 1.8;
 const LENGTH: usize = 192 << 10;
-/// With a pause of 50 ms, 64,000 bytes a second.
+/// One every 50 ms: 64,000 bytes a second.
 const PART: usize = 3_200;
 
 /// What the endpoint saw of its answers.
@@ -32,6 +34,7 @@
         record,
         Arc::new(move |arrived, stream| {
             let body = answer_body(&arrived.id, LENGTH);
+            let start = Instant::now();
             stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")?;
             for (number, part) in body.chunks(PART).enumerate() {
                 if number == 0 {
@@ -44,7 +47,8 @@
                     log.line(&format!("endpoint s-1: the sidecar has ended the connection after {} bytes: {error}", number * PART));
                     return Err(error);
                 }
-                thread::sleep(pause);
+                let due = pause * (number as u32 + 1);
+                thread::sleep(due.saturating_sub(start.elapsed()));
             }
             stream.write_all(b"0\r\n\r\n")?;
             log.line("endpoint s-1 has given all of its answer");
@@ -67,7 +71,7 @@
         method: "POST",
         id: "b1",
         class: "confirm",
-        deadline: 1.8,
+        deadline: DEADLINE,
         body: b"slot=7",
     };
     let got = send(record, sidecar.listen, &request, Duration::from_secs(12));
@@ -85,5 +89,8 @@
     if !is_served && given.cut_off.is_none() {
         unable("the answer was not served, and the endpoint was not cut off");
     }
+    if !is_served && got.ended_at > got.sent_at + DEADLINE {
+        unable("the client's time was over");
+    }
     !is_served
 }
--- a/review/common-2/case_upgrade.rs
+++ b/review/common-2/case_upgrade.rs
@@ -35,7 +35,11 @@
     record.line(
         "platform: an upgrade begins; the configuration has the list of the first start as `known`",
     );
+    let begun_at = record.now();
     let _new = Sidecar::start_at(record, &options, old.listen);
+    if record.now() > begun_at + 6.0 {
+        unable("the new process took over 6 s to say yes");
+    }
     record.line("platform: the new process says YES; SIGTERM to the old one");
     old.signal(SIGTERM);
     let killed_at = record.now() + 3.7;
--- a/review/common-2/lab.rs
+++ b/review/common-2/lab.rs
@@ -8,6 +8,7 @@
 use std::fs::File;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -17,6 +18,7 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, ...) -> i32;
 }
 
 pub const SIGKILL: i32 = 9;
@@ -466,18 +468,28 @@
 
 /// The process of an endpoint, which can end. Its connections then end, and new ones are refused.
 #[derive(Clone, Default)]
-pub struct EndpointProcess(Arc<(AtomicBool, Mutex<Vec<TcpStream>>)>);
+pub struct EndpointProcess(Arc<ProcessState>);
+
+#[derive(Default)]
+struct ProcessState {
+    has_ended: AtomicBool,
+    address: Mutex<Option<SocketAddr>>,
+    connections: Mutex<Vec<TcpStream>>,
+}
 
 impl EndpointProcess {
-    pub fn has_ended(&self) -> bool {
-        self.0.0.load(Ordering::SeqCst)
+    fn has_ended(&self) -> bool {
+        self.0.has_ended.load(Ordering::SeqCst)
     }
 
     pub fn end(&self) {
-        self.0.0.store(true, Ordering::SeqCst);
-        for stream in self.0.1.lock().unwrap().drain(..) {
+        self.0.has_ended.store(true, Ordering::SeqCst);
+        for stream in self.0.connections.lock().unwrap().drain(..) {
             let _ = stream.shutdown(std::net::Shutdown::Both);
         }
+        if let Some(address) = *self.0.address.lock().unwrap() {
+            let _ = TcpStream::connect(address); // wakes the listener, which then closes
+        }
     }
 }
 
@@ -496,17 +508,15 @@
     let listener =
         TcpListener::bind("127.0.0.1:0").unwrap_or_else(|e| unable(&format!("bind: {e}")));
     let address = listener.local_addr().unwrap();
-    let _ = listener.set_nonblocking(true);
+    *process.0.address.lock().unwrap() = Some(address);
     let (label, record, process) = (name.to_string(), record.clone(), process.clone());
     thread::spawn(move || {
-        while !process.has_ended() {
-            let Ok((stream, _)) = listener.accept() else {
-                thread::sleep(Duration::from_millis(1));
-                continue;
-            };
-            let _ = stream.set_nonblocking(false);
+        for stream in listener.incoming().flatten() {
+            if process.has_ended() {
+                break;
+            }
             if let Ok(clone) = stream.try_clone() {
-                process.0.1.lock().unwrap().push(clone);
+                process.0.connections.lock().unwrap().push(clone);
             }
             let (label, record, answer) = (label.clone(), record.clone(), answer.clone());
             thread::spawn(move || {
@@ -606,6 +616,62 @@
     pub body: &'a [u8],
 }
 
+/// A client that keeps its connection and sends one request at a time on it. If the close of a kept connection crosses a
+/// request, it sends that request once more on a new connection.
+#[derive(Default)]
+pub struct KeptConnection(Option<Reader>);
+
+impl KeptConnection {
+    /// Returns the status of the answer, or `None` without a whole one.
+    pub fn send(&mut self, to: SocketAddr, request: &ClientRequest<'_>) -> Option<u16> {
+        let is_kept = self.0.is_some();
+        match self.exchange(to, request) {
+            Err(false) if is_kept => self.exchange(to, request).ok(),
+            result => result.ok(),
+        }
+    }
+
+    /// Fails with true if a part of an answer has come.
+    fn exchange(&mut self, to: SocketAddr, request: &ClientRequest<'_>) -> Result<u16, bool> {
+        let mut reader = match self.0.take() {
+            Some(reader) => reader,
+            None => Reader::new(TcpStream::connect(to).map_err(|_| false)?),
+        };
+        let _ = reader.stream.set_nodelay(true);
+        let _ = reader.stream.set_read_timeout(Some(Duration::from_secs(8)));
+        reader
+            .stream
+            .write_all(&request.bytes())
+            .map_err(|_| false)?;
+        let Ok(Some(head)) = reader.head() else {
+            return Err(false);
+        };
+        reader.body(&head, &mut |_| ()).map_err(|_| true)?;
+        if !head.header("connection").eq_ignore_ascii_case("close") {
+            self.0 = Some(reader);
+        }
+        head.first
+            .split(' ')
+            .nth(1)
+            .and_then(|text| text.parse().ok())
+            .ok_or(true)
+    }
+}
+
+impl ClientRequest<'_> {
+    fn bytes(&self) -> Vec<u8> {
+        let length = match self.body.len() {
+            0 => String::new(),
+            length => format!("Content-Length: {length}\r\n"),
+        };
+        let head = format!(
+            "{} /api HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: {}\r\nX-Class: {}\r\nX-Deadline: {}\r\n{length}\r\n",
+            self.method, self.id, self.class, self.deadline
+        );
+        [head.as_bytes(), self.body].concat()
+    }
+}
+
 /// Sends one request on a new connection and reads its answer for up to `patience`.
 pub fn send(
     record: &Record,
@@ -643,16 +709,7 @@
     let mut stream = TcpStream::connect(to)?;
     stream.set_nodelay(true)?;
     stream.set_read_timeout(Some(patience))?;
-    let length = if request.body.is_empty() {
-        String::new()
-    } else {
-        format!("Content-Length: {}\r\n", request.body.len())
-    };
-    let head = format!(
-        "{} /api HTTP/1.1\r\nHost: service.internal\r\nX-Request-Id: {}\r\nX-Class: {}\r\nX-Deadline: {}\r\n{length}\r\n",
-        request.method, request.id, request.class, request.deadline
-    );
-    stream.write_all(&[head.as_bytes(), request.body].concat())?;
+    stream.write_all(&request.bytes())?;
     got.sent_at = record.now();
     let mut reader = Reader::new(stream);
     let Some(head) = reader.head()? else {
@@ -689,6 +746,10 @@
     pub classes: &'a [ClassSettings],
     pub memory_mb: u32,
     pub sockets: u32,
+    /// The position of the tier that the sidecar sends to, the sidecar's number, and how many there are in its tier.
+    pub tier: usize,
+    pub number: usize,
+    pub balancers: usize,
 }
 
 /// Two classes of seoul-booking: one that is safe to repeat, and the one that must never run twice.
@@ -718,6 +779,9 @@
             classes: &SEOUL_BOOKING,
             memory_mb: 48,
             sockets: 384,
+            tier: 0,
+            number: 0,
+            balancers: 1,
         }
     }
 }
@@ -731,7 +795,7 @@
 }
 
 /// The settings of the page WIRE, with other classes.
-fn settings(classes: &[ClassSettings]) -> String {
+fn settings(options: &SidecarOptions<'_>) -> String {
     let nanos = |seconds: f64| (seconds * 1e9) as u64;
     let class = |class: &ClassSettings| {
         format!(
@@ -744,22 +808,26 @@
             class.worth
         )
     };
-    let classes: Vec<String> = classes.iter().map(class).collect();
+    let classes: Vec<String> = options.classes.iter().map(class).collect();
     format!(
-        "{{\"balancers\":1,\"bounds\":{{\"cancel\":true,\"connIdleNs\":30000000000,\"connectTimeoutNs\":150000000,\
+        "{{\"balancers\":{},\"bounds\":{{\"cancel\":true,\"connIdleNs\":30000000000,\"connectTimeoutNs\":150000000,\
          \"cpuUsPerRequest\":0.0,\"cpuUsPerS\":500000,\"maxOpen\":20000,\"maxRetryAfterNs\":2000000000,\"maxStreams\":1,\
          \"mayTell\":false,\"parallelTries\":true,\"probes\":true,\"retryAfter\":true,\"sendCap\":6}},\
          \"categories\":[{}],\"clientHabits\":{{\"marksRetry\":true}},\"customers\":[],\"dcs\":[\"gasan\"],\
          \"discovery\":\"subscribe\",\"family\":\"chain\",\"familyInfo\":{{\"passesDeadline\":true}},\
          \"fees\":{{\"connection\":0.0,\"crossZone\":0.0,\"discovery\":0.0,\"handshake\":0.0,\"lateFail\":0.02,\
          \"moves\":0.0,\"origin\":0.0,\"peer\":0.0,\"probe\":0.01,\"waste\":0.13}},\"granularityNs\":5000000,\
-         \"models\":[\"front-2c\"],\"myNumber\":0,\"overShareWorth\":0.1,\
+         \"models\":[\"{}\"],\"myNumber\":{},\"overShareWorth\":0.1,\
          \"report\":{{\"fields\":[\"load_share\",\"depth\"],\"how\":\"on_probe\"}},\
          \"rules\":{{\"answerSlackNs\":20000000,\"askWithinNs\":10000000000,\"coldFrom\":0.16,\
          \"drainGraceNs\":2000000000,\"fallMultiple\":3.0,\"fallNs\":2000000000,\"warmWithinNs\":24000000000}},\
          \"scoringMix\":{{\"whole\":0.55,\"worstClass\":0.3,\"worstTenant\":0.0,\"worstWindow\":0.15}},\
-         \"stages\":[\"front\"],\"tier\":0,\"weightSource\":\"off\",\"worthBy\":\"work\",\"zone\":\"gasan\"}}",
-        classes.join(",")
+         \"stages\":[\"front\",\"slots\"],\"tier\":{},\"weightSource\":\"off\",\"worthBy\":\"work\",\"zone\":\"gasan\"}}",
+        options.balancers,
+        classes.join(","),
+        ["front-2c", "slots-2c"][options.tier],
+        options.number,
+        options.tier
     )
 }
 
@@ -797,7 +865,7 @@
         options.memory_mb,
         options.sockets,
         options.known,
-        settings(options.classes)
+        settings(options)
     );
     let path = folder.join(format!("config-{}.json", admin.port()));
     std::fs::write(&path, text).unwrap_or_else(|e| unable(&format!("configuration: {e}")));
@@ -814,15 +882,24 @@
     pub fn start_at(record: &Record, options: &SidecarOptions<'_>, listen: SocketAddr) -> Sidecar {
         let folder = temporary_folder();
         let admin = free_address();
+        let name = format!("n{}", options.number);
         let shared = folder.join(format!("tmp-{}", listen.port()));
         std::fs::create_dir_all(&shared).unwrap_or_else(|e| unable(&format!("TMPDIR: {e}")));
-        let configuration = write_configuration(&folder, "n0", listen, admin, options);
+        let configuration = write_configuration(&folder, &name, listen, admin, options);
         let log = folder.join(format!("log-{}.txt", admin.port()));
         let output = File::create(&log).unwrap_or_else(|e| unable(&format!("log: {e}")));
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        // PR_SET_PDEATHSIG of Linux: the sidecar ends with this program, however that ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(1, SIGKILL as u64);
+                Ok(())
+            })
+        };
+        let child = command
             .arg("-c")
             .arg(run_command())
-            .env("ROUTER_NAME", "n0")
+            .env("ROUTER_NAME", &name)
             .env("ROUTER_LISTEN", listen.to_string())
             .env("ROUTER_DISCOVERY", options.discovery.address.to_string())
             .env("ROUTER_ADMIN_ADDR", admin.to_string())
--- a/review/common-2/tier.rs
+++ b/review/common-2/tier.rs
@@ -85,11 +85,11 @@
 }
 
 impl Clients {
-    /// Starts a client that sends one `confirm` after another, each on a new connection, with a pause in between.
+    /// Starts a client that sends one `confirm` after another, on a connection that it keeps, with a pause in between.
     pub fn start_one(&mut self, name: String, to: SocketAddr, pause: Duration, record: &Record) {
         let (is_over, answers, log) = (self.is_over.clone(), self.answers.clone(), record.clone());
         self.threads.push(thread::spawn(move || {
-            let quiet = Record::quiet();
+            let mut connection = KeptConnection::default();
             for count in 1.. {
                 if is_over.load(Ordering::SeqCst) {
                     return;
@@ -99,17 +99,17 @@
                     method: "POST",
                     id: &id,
                     class: "confirm",
-                    deadline: 6.0,
+                    deadline: 5.0,
                     body: b"slot=7",
                 };
-                let got = send(&quiet, to, &request, Duration::from_secs(8));
-                if got.status != Some(200) {
+                let sent_at = log.now();
+                let status = connection.send(to, &request);
+                if status != Some(200) {
                     log.line(&format!(
-                        "client: {id}, sent at {:.3}, got {:?} {}",
-                        got.sent_at, got.status, got.how_ended
+                        "client: {id}, sent at {sent_at:.3}, got {status:?}"
                     ));
                 }
-                answers.lock().unwrap().insert(id, got.status);
+                answers.lock().unwrap().insert(id, status);
                 thread::sleep(pause);
             }
         }));
