End a shutdown when all connections have closed, not while answers are streamed

Cause: serve_until_shutdown waited for callers' connections until the longest deadline and 0.4 s and then ended the process. A deadline bounds the wait for an answer, not one that is being streamed. Evidence: the log's "connections were still open at the deadline" right before the end. The deadline was that of the settings in force, so that requests from before a reload to shorter deadlines met the same end.

Change: the process ends once every connection has closed; each has limits of its own. Drains end no process, and the old process of a hot restart shuts down by the same function.

--- a/src/sidecar/caller/table.rs
+++ b/src/sidecar/caller/table.rs
@@ -223,6 +223,19 @@
         self.is_shutting_down
     }
 
+    /// Returns the number of open connections.
+    pub fn len(&self) -> usize {
+        self.connections.len()
+    }
+
+    /// Returns the number of connections on which a response is being streamed.
+    pub fn streaming(&self) -> usize {
+        let phases = self.connections.values().map(|caller| caller.state.phase());
+        phases
+            .filter(|phase| matches!(phase, Phase::Streaming { .. }))
+            .count()
+    }
+
     /// Returns whether no connection is left.
     pub fn is_empty(&self) -> bool {
         self.connections.is_empty()
--- a/src/sidecar/shutdown.rs
+++ b/src/sidecar/shutdown.rs
@@ -5,7 +5,9 @@
 //! 1. Connections are served as before, while the front end, which sends callers to the sidecars that are ready, stops
 //!    sending new ones.
 //! 2. Idle connections close, and new connections are still accepted.
-//! 3. The listener closes, and all requests on accepted connections are answered.
+//! 3. The listener closes, and all requests on accepted connections are answered. The process ends once every
+//!    connection has closed. Each connection has limits of its own. There is none for all of them together, because it
+//!    would cut off answers that are still being streamed; the platform decides how long they may take.
 
 use super::node::NodeHandle;
 use super::report;
@@ -25,8 +27,9 @@
 /// The fraction of the request time for which callers keep their connections. Another sidecar may be down at the same
 /// time, and callers could then not connect elsewhere.
 const KEEP_ALIVE_FRACTION: f64 = 0.7;
-/// The time after the longest deadline at which the process ends at the latest, before it may be killed.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// The time after the longest deadline at which connections that are still open are logged, before the process may be
+/// killed.
+const OPEN_CONNECTIONS_LOG_DELAY: Duration = Duration::from_millis(400);
 
 /// Serves callers until SIGTERM, then shuts down. `listener_offer` is the task that offers the listening socket to new
 /// processes.
@@ -42,7 +45,7 @@
     }
     let max_deadline = max_deadline(node);
     let request_time = max_deadline.min(MAX_REQUEST_TIME);
-    let exit_at = Instant::now() + max_deadline + EXIT_MARGIN;
+    let log_open_at = Instant::now() + max_deadline + OPEN_CONNECTIONS_LOG_DELAY;
     report::write(node);
     node.borrow().begin_shutdown(request_time);
     node.announce_shutdown();
@@ -51,11 +54,24 @@
     accept_for(node, &listener, FINAL_ACCEPT_TIME).await;
     close_listener(node, listener, &mut listener_offer).await;
     node.borrow().callers_mut().begin_shutdown(); // for connections accepted since
-    if timeout_at(exit_at, all_closed(node)).await.is_err() {
-        log!("shutdown: connections were still open at the deadline");
+    if timeout_at(log_open_at, all_closed(node)).await.is_err() {
+        log_open_connections(node);
+        all_closed(node).await;
     }
 }
 
+/// Logs how many connections the process still waits for.
+fn log_open_connections(node: &NodeHandle) {
+    let node = node.borrow();
+    let callers = node.callers();
+    log!(
+        "shutdown: {open} connections are still open after the longest deadline, {streaming} of them with a streamed \
+         answer; the process ends when they close",
+        open = callers.len(),
+        streaming = callers.streaming(),
+    );
+}
+
 /// Accepts connections for the given time.
 async fn accept_for(node: &NodeHandle, listener: &TcpListener, time: Duration) {
     // Accepting never ends by itself, so this always times out.
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -28,6 +28,7 @@
 mod requests;
 mod settings_isolation;
 mod shutdown_races;
+mod shutdown_streams;
 mod streamed_deadlines;
 mod stubs;
 mod warming_endpoint;
