Send nothing under an overdue list after a silent watch, and spread the calls

Cause: (1) every watch was given up 4.2 s after its last data, and a change aligns the heartbeats, so that 17 calls came within 0.4 s at a discovery that answers 3.4 a second; (2) an overdue list was used for endpoints with a connection from before, which proves their process and not that they do not drain; (3) the age of the list was cut to 5 s before the first rejection, as if discovery had been unreachable.

Change: a random silence timeout for each watch, 3 to 4.2 s; the balancer learns that a watch fell silent, and if discovery could be reached all along no endpoint is sent anything from 0.5 s before the changes are in force until a list arrives.

The 25 tests with crowded or discovery in their names and the 89 policy tests pass.

--- a/fleet-lab/src/sidecar/simulated/sidecar/discovery.rs
+++ b/fleet-lab/src/sidecar/simulated/sidecar/discovery.rs
@@ -94,6 +94,7 @@
             drop(sidecar);
             self.handle_event(match failure {
                 DiscoveryFailure::Rejected => Event::DiscoveryRejected,
+                DiscoveryFailure::Silent => Event::WatchSilent,
                 DiscoveryFailure::Lost => Event::DiscoveryFailed,
             });
         }
--- a/src/discovery/backoff.rs
+++ b/src/discovery/backoff.rs
@@ -17,6 +17,9 @@
 /// Longer delays would reduce the load only on a discovery service that rejects calls, and would slow down the recovery
 /// of all sidecars after an outage.
 const MAX_DELAY: Duration = CHANGE_PROPAGATION_DEADLINE.saturating_sub(DISCOVERY_TIMEOUT);
+/// The shortest time without data after which a watch fails. It covers a heartbeat of the watch, which comes every 2 s,
+/// and half an interval as a margin.
+const MIN_SILENCE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Computes the delays between calls of discovery: an exponential backoff after a failure, and a hedge delay while a
 /// call has no response.
@@ -60,6 +63,15 @@
         Duration::from_secs_f64(delay)
     }
 
+    /// Returns the time without data after which a watch fails, up to [`DISCOVERY_TIMEOUT`].
+    ///
+    /// A change of the list aligns the heartbeats of all watches. Where they fall silent together, sidecars with the same
+    /// timeout would call discovery together, and a crowded one would reject most of them.
+    pub fn silence_timeout(&mut self) -> Duration {
+        let jitter = DISCOVERY_TIMEOUT - MIN_SILENCE_TIMEOUT;
+        MIN_SILENCE_TIMEOUT + jitter.mul_f64(self.random.unit_interval())
+    }
+
     /// Returns the time after which a call without a response is hedged by another one, from [`DISCOVERY_TIMEOUT`] to
     /// [`MAX_CALL_INTERVAL`].
     ///
--- a/src/discovery/client.rs
+++ b/src/discovery/client.rs
@@ -130,6 +130,9 @@
     fn failure(&self) -> DiscoveryFailure {
         match self.stage {
             WatchStage::Opening { .. } => self.error.call_failure(),
+            WatchStage::Open { .. } if matches!(self.error, DiscoveryError::TimedOut(_)) => {
+                DiscoveryFailure::Silent
+            }
             WatchStage::Open { .. } => DiscoveryFailure::Lost,
         }
     }
@@ -194,7 +197,7 @@
         "the watch on discovery opened after {:.3} s",
         (opened_at - called_at).as_secs_f64()
     ));
-    let mut receiver = WatchReceiver::new(opened_at);
+    let mut receiver = WatchReceiver::new(opened_at, backoff.silence_timeout());
     let Err(error) = receiver.receive(consumer, source, body).await;
     let stage = WatchStage::Open {
         duration: opened_at.elapsed(),
@@ -233,6 +236,8 @@
 /// Receives the events of an open watch.
 struct WatchReceiver {
     decoder: ListDecoder,
+    /// The time without data after which the watch fails.
+    silence_timeout: Duration,
     /// The number of lists received.
     list_count: u64,
     /// The time at which a list was last completed or a heartbeat last received. Initially the time at which the watch
@@ -244,16 +249,17 @@
 }
 
 impl WatchReceiver {
-    fn new(opened_at: Instant) -> Self {
+    fn new(opened_at: Instant, silence_timeout: Duration) -> Self {
         WatchReceiver {
             decoder: ListDecoder::default(),
+            silence_timeout,
             list_count: 0,
             last_received_at: opened_at,
             last_part_at: opened_at,
         }
     }
 
-    /// Receives the events of a watch until it fails, ends or is silent for [`DISCOVERY_TIMEOUT`].
+    /// Receives the events of a watch until it fails, ends or is silent for too long.
     ///
     /// While a list is incomplete, heartbeats count as silence, because the rest of the list may never arrive. Further
     /// parts of the list end the silence, but only within [`MAX_LIST_TRANSFER_TIME`] of the last complete list or of
@@ -291,6 +297,6 @@
     fn silence_deadline(&self) -> Instant {
         let last_progress_at = self.last_received_at.max(self.last_part_at);
         let latest = self.last_received_at + MAX_LIST_TRANSFER_TIME;
-        latest.min(last_progress_at + DISCOVERY_TIMEOUT)
+        latest.min(last_progress_at + self.silence_timeout)
     }
 }
--- a/src/discovery/error.rs
+++ b/src/discovery/error.rs
@@ -14,7 +14,9 @@
 pub enum DiscoveryFailure {
     /// Discovery was reached and rejected the call.
     Rejected,
-    /// Discovery could not be reached, or an open watch was lost.
+    /// An open watch fell silent, and its connection stayed open.
+    Silent,
+    /// Discovery could not be reached, or the connection of an open watch was lost.
     Lost,
 }
 
@@ -33,7 +35,7 @@
     /// The response has a status other than 200.
     #[error("unexpected response status {0}")]
     Status(StatusCode),
-    /// Nothing was received within [`DISCOVERY_TIMEOUT`](crate::policy::DISCOVERY_TIMEOUT).
+    /// Nothing was received in time.
     #[error("timed out")]
     TimedOut(#[from] tokio::time::error::Elapsed),
     /// Discovery ended the watch.
--- a/src/discovery/mod.rs
+++ b/src/discovery/mod.rs
@@ -11,7 +11,7 @@
 //!   version is known, the client fetches the full list before it opens the watch.
 //!
 //! A watch is lost when its connection ends, an event is malformed or stale, or nothing is received for
-//! [`DISCOVERY_TIMEOUT`](crate::policy::DISCOVERY_TIMEOUT) (**silence timeout**). A long list may take longer than the
+//! its **silence timeout** ([`Backoff::silence_timeout`]). A long list may take longer than the
 //! timeout if further parts of it keep arriving. A new watch resumes from the last known version, so no change is
 //! missed.
 //!
--- a/src/policy/discovery_calls.rs
+++ b/src/policy/discovery_calls.rs
@@ -12,8 +12,8 @@
 /// call.
 pub const MAX_CALL_INTERVAL: Duration =
     CHANGE_PROPAGATION_DEADLINE.saturating_sub(Duration::from_secs(1));
-/// The timeout of a call of discovery without an answer, and of a watch without data. It covers two heartbeats of a
-/// watch, which come every 2 s, and a margin.
+/// The timeout of a call of discovery without an answer, and the longest of a watch without data. It covers two
+/// heartbeats of a watch, which come every 2 s, and a margin.
 pub const DISCOVERY_TIMEOUT: Duration = Duration::from_millis(4_200);
 
 /// The longest poll interval that the backoff is derived from. Even if the poll interval is longer, a lost watch has to
@@ -33,6 +33,13 @@
 const CACHED_LIST_CHECK_FRACTION: f64 = 0.25;
 
 impl Balancer {
+    /// Handles the loss of a watch that fell silent while its connection stayed open.
+    pub(super) fn watch_silent(&mut self, now: Timestamp) {
+        let was_current = self.discovery_schedule.stale_since.is_none();
+        self.discovery_failed(now);
+        self.discovery_schedule.missed_by_silence = was_current;
+    }
+
     /// Delays the next call with backoff and jitter. All balancers lose their watches at the same time, and immediate
     /// or simultaneous calls would fail again.
     pub(super) fn discovery_failed(&mut self, now: Timestamp) {
@@ -48,6 +55,7 @@
         self.schedule_call(now, delay);
         self.discovery_schedule.stale_since = Some(stale_since);
         self.discovery_schedule.is_discovery_reached = false;
+        self.discovery_schedule.missed_by_silence = false;
     }
 
     /// Returns a delay whose mean doubles with each failure in a row, as far as [`MAX_CALL_INTERVAL`] allows.
@@ -95,11 +103,13 @@
     }
 
     /// Records that a call has reached discovery. Discovery may have been unreachable before the first such call, and
-    /// therefore the list counts as stale for at most [`MAX_CALL_INTERVAL`] before it.
+    /// therefore the list counts as stale for at most [`MAX_CALL_INTERVAL`] before it. After a silent watch it counts as
+    /// stale from the last data on: what such a watch misses is in force in time, whether or not it arrived.
     pub(super) fn discovery_reached(&mut self, now: Timestamp) {
         let schedule = &mut self.discovery_schedule;
         let stale_since = schedule.stale_since.get_or_insert(now);
         if !std::mem::replace(&mut schedule.is_discovery_reached, true)
+            && !schedule.missed_by_silence
             && now.since(*stale_since) > MAX_CALL_INTERVAL
         {
             *stale_since = now.minus(MAX_CALL_INTERVAL);
--- a/src/policy/discovery_schedule.rs
+++ b/src/policy/discovery_schedule.rs
@@ -19,6 +19,9 @@
     pub(super) stale_since: Option<Timestamp>,
     /// A call has reached discovery since the list became stale, or since the last failed call.
     pub(super) is_discovery_reached: bool,
+    /// The list is stale because the watch fell silent, and no call since then has failed to reach discovery. Discovery
+    /// has then had each missed change, and could be reached all along.
+    pub(super) missed_by_silence: bool,
     /// The time for which the list was stale before it last became current again.
     pub(super) catch_up_time: Duration,
 }
@@ -28,6 +31,7 @@
     pub(super) fn succeeded(&mut self, now: Timestamp) {
         self.failures_in_row = 0;
         self.is_discovery_reached = false;
+        self.missed_by_silence = false;
         if let Some(stale_since) = self.stale_since.take() {
             self.catch_up_time = now.since(stale_since);
         }
--- a/src/policy/event.rs
+++ b/src/policy/event.rs
@@ -149,8 +149,12 @@
         /// The entries; balancers of one host may share them.
         entries: Arc<[EndpointEntry]>,
     },
-    /// A call of discovery failed, or the watch was lost.
+    /// A call of discovery failed, or the connection of the watch was lost.
     DiscoveryFailed,
+    /// The watch was given up, because nothing was received on it although its connection stayed open.
+    WatchSilent,
+    /// A call has not reached discovery for a long time, and goes on.
+    DiscoveryUnreachable,
     /// Discovery was reached and rejected a call, because it has too many calls.
     DiscoveryRejected,
     /// A call has reached discovery, and has not been answered for a long time.
--- a/src/policy/event_handler.rs
+++ b/src/policy/event_handler.rs
@@ -23,6 +23,8 @@
                 self.update_endpoints(now, kind, &entries, actions);
             }
             Event::DiscoveryFailed => self.discovery_failed(now),
+            Event::WatchSilent => self.watch_silent(now),
+            Event::DiscoveryUnreachable => self.discovery_schedule.missed_by_silence = false,
             Event::DiscoveryRejected => self.discovery_rejected(now),
             Event::DiscoverySlow => self.discovery_reached(now),
             Event::ListConfirmed => self.list_confirmed(now, actions),
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -110,4 +110,5 @@
 pub use settings::{DiscoveryMode, Reporting, Settings, ValueBasis, WeightSource};
 pub use settings_check::SettingsError;
 pub use status::BalancerStatus;
+pub use suspension::ListValidity;
 pub use time::Timestamp;
--- a/src/policy/suspension.rs
+++ b/src/policy/suspension.rs
@@ -7,6 +7,9 @@
 //! A list is overdue if discovery has been reached and the list was last current so long ago that any change since then
 //! would have to be in force. While it is overdue, only a connection that was opened while the list was current proves
 //! that the listed process still runs.
+//!
+//! No connection proves that an endpoint does not drain. If the list is overdue because a watch fell silent, discovery
+//! has had the drains since then, and they are in force. All endpoints are then suspended until a list arrives.
 
 use super::action::Action;
 use super::balancer::Balancer;
@@ -30,7 +33,30 @@
 /// The highest number of endpoints that a log line names.
 const MAX_LOGGED_ENDPOINTS: usize = 8;
 
+/// The endpoints that may be sent requests under the present list.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListValidity {
+    /// All that the list names as serving.
+    Usable,
+    /// Those whose listed processes are known to be running, because the list is overdue.
+    KnownProcesses,
+    /// None, because the list is overdue and each endpoint may be draining.
+    Unusable,
+}
+
 impl Balancer {
+    /// Returns which endpoints may be sent requests under the present list.
+    #[must_use]
+    pub fn list_validity(&self, now: Timestamp) -> ListValidity {
+        if !self.is_list_overdue(now) {
+            ListValidity::Usable
+        } else if self.discovery_schedule.missed_by_silence {
+            ListValidity::Unusable
+        } else {
+            ListValidity::KnownProcesses
+        }
+    }
+
     /// Returns whether a connection that is accepted now proves that the listed process still runs. It does while the
     /// list is current or was so until recently, and while discovery is unreachable. A change that replaces the process
     /// will be in force before the list is overdue.
--- a/src/sidecar/endpoint/attempt.rs
+++ b/src/sidecar/endpoint/attempt.rs
@@ -9,7 +9,7 @@
 use super::request_body::RequestBody;
 use super::response::EndpointResponse;
 use super::streamed_response::StreamedResponse;
-use crate::policy::Outcome;
+use crate::policy::{ListValidity, Outcome};
 use crate::sidecar::body::ReceivedResponse;
 use hyper::StatusCode;
 use std::time::Duration;
@@ -58,8 +58,8 @@
                     .return_connection(acquired.connection, &self.spec.target);
                 return AttemptResult::without_response(Outcome::NotSent);
             }
-            if self.host.requires_known_process() && !acquired.connection.reaches_known_process() {
-                self.host.unknown_process_reached();
+            if !self.is_allowed_by_list(&acquired.connection) {
+                self.host.overdue_list_used();
                 return AttemptResult::without_response(Outcome::NotSent);
             }
             let written_before = acquired.connection.progress().bytes_written();
@@ -86,6 +86,15 @@
         }
     }
 
+    /// Returns whether the present list allows a request on a connection.
+    fn is_allowed_by_list(&self, connection: &EndpointConnection) -> bool {
+        match self.host.list_validity() {
+            ListValidity::Usable => true,
+            ListValidity::KnownProcesses => connection.reaches_known_process(),
+            ListValidity::Unusable => false,
+        }
+    }
+
     fn forwarded(&self) -> &ForwardedRequest {
         &self.spec.forwarded
     }
--- a/src/sidecar/endpoint/host.rs
+++ b/src/sidecar/endpoint/host.rs
@@ -5,7 +5,7 @@
 use super::forwarded_request::{AttemptSpec, EndpointProcess};
 use super::known_processes::KnownProcessGuard;
 use crate::clock::Clock;
-use crate::policy::{EndpointId, Timestamp};
+use crate::policy::{EndpointId, ListValidity, Timestamp};
 use crate::sidecar::descriptors::DescriptorPermit;
 use crate::sidecar::memory::MemoryBudget;
 use std::cell::Cell;
@@ -56,12 +56,11 @@
     /// endpoint list names.
     fn known_process_guard(&self, target: &EndpointProcess) -> Option<KnownProcessGuard>;
 
-    /// Returns whether attempts may be written only on connections to known processes, because the endpoint list is
-    /// overdue.
-    fn requires_known_process(&self) -> bool;
+    /// Returns which endpoints may be sent requests under the present list.
+    fn list_validity(&self) -> ListValidity;
 
-    /// Reports that an attempt was not written, because its connection does not reach a known process.
-    fn unknown_process_reached(&self);
+    /// Reports that an attempt was not written, because the list is overdue and its endpoint may not be sent requests.
+    fn overdue_list_used(&self);
 
     /// Reports that an attempt has ended.
     fn attempt_ended(&self, spec: &AttemptSpec, result: AttemptResult);
--- a/src/sidecar/node/discovery.rs
+++ b/src/sidecar/node/discovery.rs
@@ -139,6 +139,7 @@
         drop(node);
         self.handle(match failure {
             DiscoveryFailure::Rejected => Event::DiscoveryRejected,
+            DiscoveryFailure::Silent => Event::WatchSilent,
             DiscoveryFailure::Lost => Event::DiscoveryFailed,
         });
     }
@@ -150,9 +151,11 @@
             return;
         }
         log!("discovery call hedged by a second one: no response yet");
-        if is_reached {
-            self.handle(Event::DiscoverySlow);
-        }
+        self.handle(if is_reached {
+            Event::DiscoverySlow
+        } else {
+            Event::DiscoveryUnreachable
+        });
     }
 
     fn jitter_seed(&self) -> u64 {
--- a/src/sidecar/node/endpoint_host.rs
+++ b/src/sidecar/node/endpoint_host.rs
@@ -3,7 +3,7 @@
 use super::open_request::FinalAnswer;
 use super::state::{Node, NodeHandle};
 use crate::clock::Clock;
-use crate::policy::{EndpointId, Event, Timestamp};
+use crate::policy::{EndpointId, Event, ListValidity, Timestamp};
 use crate::sidecar::endpoint::{
     AttemptResult, AttemptSpec, ConnectPermit, EndpointConnection, EndpointHost, EndpointProcess,
     KnownProcessGuard, SweepTask,
@@ -87,14 +87,18 @@
         is_known.then(|| node.connections.add_known_process(target))
     }
 
-    fn requires_known_process(&self) -> bool {
+    fn list_validity(&self) -> ListValidity {
         let node = self.borrow();
-        node.balancer.is_list_overdue(node.clock.now())
+        node.balancer.list_validity(node.clock.now())
     }
 
-    /// Gives the balancer all endpoints with known processes at once, so that it does not try the others one by one.
-    fn unknown_process_reached(&self) {
-        let endpoints = self.borrow().endpoints_with_known_process();
+    /// Gives the balancer all endpoints that it may use at once, so that it does not try the others one by one.
+    fn overdue_list_used(&self) {
+        let endpoints = match self.list_validity() {
+            ListValidity::Usable => return, // a list has just arrived
+            ListValidity::KnownProcesses => self.borrow().endpoints_with_known_process(),
+            ListValidity::Unusable => HashSet::new(),
+        };
         self.handle(Event::KnownProcessesReported { endpoints });
     }
 
--- a/tests/discovery_backoff.rs
+++ b/tests/discovery_backoff.rs
@@ -115,3 +115,19 @@
         }
     }
 }
+
+/// Guards a crowded discovery against the calls of a whole fleet whose watches fell silent together. A late heartbeat is
+/// no silence, and the rest of [`CHANGE_PROPAGATION_DEADLINE`] is left for the next call.
+#[test]
+fn silent_watches_are_given_up_at_different_times() {
+    let heartbeat_interval = Duration::from_secs(2);
+    let timeouts = SEEDS.map(|seed| Backoff::new(seed).silence_timeout());
+    let (earliest, latest) = (timeouts.clone().min(), timeouts.max());
+    let (earliest, latest) = (earliest.expect("a seed"), latest.expect("a seed"));
+    assert!(earliest >= heartbeat_interval + Duration::from_secs(1));
+    assert!(latest <= DISCOVERY_TIMEOUT);
+    assert!(
+        latest - earliest >= Duration::from_secs(1),
+        "{earliest:?}, {latest:?}"
+    );
+}
--- a/tests/policy/suspension.rs
+++ b/tests/policy/suspension.rs
@@ -224,3 +224,53 @@
     lose_watch(&mut host);
     assert!(is_used(&mut host, "e1"));
 }
+
+/// Returns a host whose watch has been silent since the returned time, and was then given up.
+fn host_with_silent_watch() -> (Host, Timestamp) {
+    let mut host = confirmed_host();
+    let since = host.now;
+    host.now = host.now + DISCOVERY_TIMEOUT;
+    host.handle(Event::ListUnconfirmed { since });
+    host.handle(Event::WatchSilent);
+    (host, since)
+}
+
+/// Guards endpoints that drain while a watch is silent: what it misses is in force at the change deadline, counted from
+/// the last received data, however late discovery rejects the first call.
+#[test]
+fn list_is_unusable_at_the_change_deadline_after_a_silent_watch() {
+    let (mut host, since) = host_with_silent_watch();
+    host.now = since + MAX_CALL_INTERVAL + ms(300);
+    host.handle(Event::DiscoveryRejected);
+    assert_eq!(host.balancer.list_validity(host.now), ListValidity::Usable);
+    host.now = since + change_deadline();
+    assert_eq!(
+        host.balancer.list_validity(host.now),
+        ListValidity::Unusable
+    );
+    host.handle(Event::DiscoveryRejected);
+    assert_eq!(
+        host.balancer.list_validity(host.now),
+        ListValidity::Unusable
+    );
+    host.handle(Event::ListConfirmed);
+    assert_eq!(host.balancer.list_validity(host.now), ListValidity::Usable);
+}
+
+/// Guards the service in an outage: where a call could not reach discovery after the silence, the sidecar may have been
+/// cut off from it, and endpoints whose processes are known stay in use.
+#[test]
+fn list_stays_usable_if_discovery_was_unreachable_after_a_silent_watch() {
+    for unreachable in [Event::DiscoveryFailed, Event::DiscoveryUnreachable] {
+        let (mut host, since) = host_with_silent_watch();
+        host.handle(unreachable);
+        host.now = since + change_deadline();
+        host.handle(Event::DiscoveryRejected);
+        assert_eq!(host.balancer.list_validity(host.now), ListValidity::Usable);
+        host.now = host.now + change_deadline();
+        assert_eq!(
+            host.balancer.list_validity(host.now),
+            ListValidity::KnownProcesses
+        );
+    }
+}
--- a/tests/sidecar/crowded_discovery.rs
+++ b/tests/sidecar/crowded_discovery.rs
@@ -19,7 +19,7 @@
 /// A sidecar with its discovery and several endpoints, one of which can be restarted.
 struct Fixture {
     restartable: RestartableEndpoint,
-    _others: Endpoint,
+    others: Endpoint,
     discovery: ManualDiscovery,
     sidecar: Sidecar,
 }
@@ -38,7 +38,7 @@
         let sidecar = Sidecar::start(&config);
         Fixture {
             restartable,
-            _others: others,
+            others,
             discovery,
             sidecar,
         }
@@ -175,3 +175,45 @@
     assert_eq!(fixture.restartable.request_count(), count_before);
     fixture.expect_requests_once_listed();
 }
+
+/// The deadline in seconds of requests that are rejected: long enough for one that is served.
+const REJECTED_DEADLINE: &str = "0.5";
+/// The number of requests that are sent while every endpoint may be draining.
+const REQUESTS_WITHOUT_A_LIST: usize = 10;
+
+/// Guards endpoints that drain while a watch is silent and discovery rejects the calls for a new one (`review/8`). Their
+/// processes run, and connections to them are open. Once a drain would be in force, no request is sent until a list
+/// arrives. Every request gets its answer.
+#[test]
+fn overdue_list_after_a_silent_watch_stops_all_requests() {
+    let fixture = Fixture::start(ON_REQUEST_MODE, AfterResponse::KeepOpen);
+    let mut silent_watch = fixture.discovery.next_call();
+    silent_watch.open_watch();
+    silent_watch.write_line(&endpoint_list(42, false, &[]));
+    let mut client = fixture.sidecar.client();
+    wait_until("any change would be in force", || {
+        fixture.reject_call();
+        assert_ne!(client.exchange(&get_request("5")).status(), 502);
+        thread::sleep(REQUEST_INTERVAL);
+        fixture.sidecar.metric("list_unconfirmed_ms") >= Some(CHANGE_IN_FORCE_DEADLINE_MS)
+    });
+
+    let count_before = fixture.restartable.request_count();
+    fixture.others.take_request_count();
+    for _ in 0..REQUESTS_WITHOUT_A_LIST {
+        fixture.reject_call();
+        assert_eq!(
+            client.exchange(&get_request(REJECTED_DEADLINE)).status(),
+            503
+        );
+    }
+    assert_eq!(fixture.restartable.request_count(), count_before);
+    assert_eq!(fixture.others.take_request_count(), 0);
+
+    let mut watch = fixture.discovery.next_open_call();
+    watch.open_watch();
+    watch.write_line(&endpoint_list(43, false, &[]));
+    wait_until("requests are served again", || {
+        client.exchange(&get_request("5")).status() == 200
+    });
+}
