Stream a slow answer of undeclared length once its endpoint shows that it still sends

Cause: the first 64 KiB of a body of undeclared length were held back however slowly they came, and head and body together were under the attempt's timeout. Evidence: the record of the case (54,400 bytes given, none passed on, cut off at 0.87 s); with the limit of the hold taken out the new test gets 504.

A stalled endpoint sends none, and its attempt times out as before. A body has 0.3 s after its head, within the request's deadline. The exchange on a connection is split into head and body for this.

--- a/src/sidecar/body/request_deadline.rs
+++ b/src/sidecar/body/request_deadline.rs
@@ -108,7 +108,7 @@
 
     /// Returns the present deadline of a request whose client waits for `time_left` after the body's last byte. A graceful
     /// shutdown limits it unless the last byte arrived before the shutdown.
-    fn current(&self, time_left: Duration) -> Instant {
+    pub fn current(&self, time_left: Duration) -> Instant {
         let (own_deadline, shutdown_deadline) = match self.completion.get() {
             Some(completion) => (completion.at + time_left, completion.shutdown_deadline),
             None => (self.deadline_of_incomplete(time_left), self.shutdown.get()),
--- a/src/sidecar/endpoint/attempt.rs
+++ b/src/sidecar/endpoint/attempt.rs
@@ -10,11 +10,15 @@
 use super::response::EndpointResponse;
 use super::streamed_response::StreamedResponse;
 use crate::policy::{ListValidity, Outcome};
-use crate::sidecar::body::ReceivedResponse;
+use crate::sidecar::body::{Buffering, ReceivedResponse, Upload, buffer_size};
 use hyper::StatusCode;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
+/// The minimum time that a response has for its body after its head, also past the attempt's deadline. The endpoint has
+/// run the request by then, and may be about to send the rest.
+const MIN_BODY_TIME: Duration = Duration::from_millis(300);
+
 /// Makes an attempt and reports its result to the host. Dropping the future closes the attempt's connection.
 pub async fn run_attempt(host: impl EndpointHost, spec: AttemptSpec) {
     let attempt = Attempt {
@@ -45,6 +49,36 @@
     New,
 }
 
+/// The time by which an attempt must have its response.
+struct AttemptTimeout<'a> {
+    /// The body of the request, if it is streamed. The deadline then counts from the arrival of its last byte.
+    upload: Option<&'a Upload>,
+    /// The deadline of a request whose body was received before the attempt.
+    deadline: Instant,
+    /// The time that was left when the attempt was sent.
+    time_left: Duration,
+}
+
+impl AttemptTimeout<'_> {
+    /// Returns the present deadline.
+    fn current(&self) -> Instant {
+        self.upload.map_or(self.deadline, |upload| {
+            upload.deadline().current(self.time_left)
+        })
+    }
+
+    /// Awaits work up to `extension` after the deadline. Returns `None` once that has passed.
+    async fn limit<T>(&self, extension: Duration, work: impl Future<Output = T>) -> Option<T> {
+        match self.upload {
+            Some(upload) => {
+                let deadline = upload.deadline();
+                deadline.timeout(self.time_left, extension, work).await
+            }
+            None => timeout_at(self.deadline + extension, work).await.ok(),
+        }
+    }
+}
+
 impl<Host: EndpointHost> Attempt<'_, Host> {
     async fn run(&self) -> AttemptResult {
         let deadline = self.host.clock().instant(self.spec.deadline);
@@ -138,20 +172,31 @@
     ) -> Option<Result<EndpointResponse, ExchangeError>> {
         let forwarded = self.forwarded();
         let time_left = self.spec.deadline.since(self.host.now());
-        let memory = self.host.response_memory();
+        let timeout = AttemptTimeout {
+            upload: forwarded.upload.as_deref(),
+            deadline,
+            time_left,
+        };
         let progress = connection.progress().clone();
         let body = RequestBody::new(forwarded.body.clone(), forwarded.upload.clone(), progress);
         let request = forwarded.to_request(time_left, body);
-        let exchange = connection.exchange(request, ExchangeKind::Attempt(&memory));
-        match &forwarded.upload {
-            Some(upload) => {
-                upload
-                    .deadline()
-                    .timeout(time_left, Duration::ZERO, exchange)
-                    .await
-            }
-            None => timeout_at(deadline, exchange).await.ok(),
-        }
+        let exchange = connection.exchange(request, ExchangeKind::Attempt);
+        let response = match timeout.limit(Duration::ZERO, exchange).await? {
+            Ok(response) => response,
+            Err(error) => return Some(Err(error)),
+        };
+        let request_deadline = self.host.clock().instant(self.spec.request_deadline);
+        let extension = body_extension(deadline, request_deadline, Instant::now());
+        let memory = self.host.response_memory();
+        let reservation = memory.reserve(buffer_size(response.body()));
+        let buffering = match &reservation {
+            Some(_) => Buffering::UpToLimit {
+                deadline: Some(timeout.current() + extension),
+            },
+            None => Buffering::FirstBytes,
+        };
+        let receive_body = connection.receive_body(response, buffering);
+        timeout.limit(extension, receive_body).await.map(Ok)
     }
 
     /// Returns the result of an attempt that got a response. The connection returns to the pool once the response is
@@ -189,3 +234,14 @@
         AttemptResult::from_response(&head, body)
     }
 }
+
+/// Returns for how long after the attempt's deadline the body of a response is awaited whose head has arrived now: for
+/// [`MIN_BODY_TIME`] from now, but not past the deadline of the request.
+fn body_extension(deadline: Instant, request_deadline: Instant, now: Instant) -> Duration {
+    let until = request_deadline.min(now + MIN_BODY_TIME);
+    until.saturating_duration_since(deadline)
+}
+
+#[cfg(test)]
+#[path = "attempt_tests.rs"]
+mod tests;
--- a/src/sidecar/endpoint/connection.rs
+++ b/src/sidecar/endpoint/connection.rs
@@ -4,14 +4,14 @@
 use super::request_body::RequestBody;
 use super::response::{EndpointResponse, FramingError, check_framing};
 use super::write_progress::WriteProgress;
-use crate::sidecar::body::{Buffering, ReceivedResponse, buffer_size, receive_response};
+use crate::sidecar::body::{Buffering, ReceivedResponse, receive_response};
 use crate::sidecar::descriptors::DescriptorPermit;
-use crate::sidecar::memory::MemoryBudget;
 use crate::sidecar::sockets::{self, ObservedSocket, SocketState};
 use crate::task::Task;
-use hyper::Request;
+use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
 use std::cell::Cell;
 use std::error::Error as _;
@@ -70,11 +70,11 @@
 }
 
 /// The purpose of an exchange on a connection.
-#[derive(Clone, Copy)]
-pub enum ExchangeKind<'a> {
-    /// An attempt. It is counted, and its response is buffered within this budget.
-    Attempt(&'a MemoryBudget),
-    /// A health check. It is not counted, and its response is buffered without a reservation.
+#[derive(Clone, Copy, Debug)]
+pub enum ExchangeKind {
+    /// An attempt, which is counted.
+    Attempt,
+    /// A health check, which is not counted.
     HealthCheck,
 }
 
@@ -144,17 +144,17 @@
         &self.progress
     }
 
-    /// Sends a request and receives its response, or as much of it as may be buffered.
+    /// Sends a request and receives the head of its response. [`Self::receive_body`] receives the body.
     ///
     /// # Errors
     /// No acceptable response head was received.
     pub async fn exchange(
         &mut self,
         mut request: Request<RequestBody>,
-        kind: ExchangeKind<'_>,
-    ) -> Result<EndpointResponse, ExchangeError> {
+        kind: ExchangeKind,
+    ) -> Result<Response<Incoming>, ExchangeError> {
         match kind {
-            ExchangeKind::Attempt(_) => self.progress.on_attempt_started(),
+            ExchangeKind::Attempt => self.progress.on_attempt_started(),
             ExchangeKind::HealthCheck => self.progress.on_health_check_started(),
         }
         self.idle_state.is_idle.set(false);
@@ -164,21 +164,23 @@
             () = too_many_informational.notified() => return Err(ExchangeError::TooManyInformationalResponses),
         };
         check_framing(&response)?;
+        Ok(response)
+    }
+
+    /// Receives the body of a response, or as much of it as may be buffered.
+    pub async fn receive_body(
+        &self,
+        response: Response<Incoming>,
+        buffering: Buffering,
+    ) -> EndpointResponse {
         let (head, body) = response.into_parts();
-        let (buffering, _reservation) = match kind {
-            ExchangeKind::Attempt(memory) => match memory.reserve(buffer_size(&body)) {
-                Some(reservation) => (Buffering::UpToLimit, Some(reservation)),
-                None => (Buffering::FirstBytes, None),
-            },
-            ExchangeKind::HealthCheck => (Buffering::UpToLimit, None),
-        };
         let body = receive_response(body, buffering).await;
         let is_complete = matches!(body, Ok(ReceivedResponse::Complete(_)));
         self.idle_state.is_idle.set(is_complete);
-        Ok(EndpointResponse {
-            head: hyper::Response::from_parts(head, ()),
+        EndpointResponse {
+            head: Response::from_parts(head, ()),
             body,
-        })
+        }
     }
 
     /// Returns whether the connection is known to reach the process that the endpoint list names.
--- a/src/sidecar/endpoint/forwarded_request.rs
+++ b/src/sidecar/endpoint/forwarded_request.rs
@@ -71,6 +71,8 @@
     pub target: EndpointProcess,
     /// The time at which it times out.
     pub deadline: Timestamp,
+    /// The deadline of the request, which is not before that of the attempt.
+    pub request_deadline: Timestamp,
     /// The request as it is sent.
     pub forwarded: Rc<ForwardedRequest>,
 }
--- a/src/sidecar/endpoint/health_check.rs
+++ b/src/sidecar/endpoint/health_check.rs
@@ -8,7 +8,7 @@
 use super::request_body::RequestBody;
 use super::response::EndpointResponse;
 use crate::policy::Outcome;
-use crate::sidecar::body::ReceivedResponse;
+use crate::sidecar::body::{Buffering, ReceivedResponse};
 use bytes::Bytes;
 use hyper::{Request, Uri};
 use std::time::Duration;
@@ -47,18 +47,21 @@
     let body = RequestBody::new(Bytes::new(), None, connection.progress().clone());
     let mut request = Request::new(body);
     *request.uri_mut() = Uri::from_static(LOAD_PATH);
-    match connection
+    let Ok(response) = connection
         .exchange(request, ExchangeKind::HealthCheck)
         .await
-    {
-        Ok(EndpointResponse {
+    else {
+        return AttemptResult::without_response(Outcome::Reset);
+    };
+    let buffering = Buffering::UpToLimit { deadline: None };
+    match connection.receive_body(response, buffering).await {
+        EndpointResponse {
             head,
             body: Ok(ReceivedResponse::Complete(body)),
-        }) => {
+        } => {
             host.return_connection(connection, target);
             AttemptResult::from_health_check(&head, Some(body))
         }
-        Ok(EndpointResponse { head, .. }) => AttemptResult::from_health_check(&head, None),
-        Err(_) => AttemptResult::without_response(Outcome::Reset),
+        EndpointResponse { head, .. } => AttemptResult::from_health_check(&head, None),
     }
 }
--- a/src/sidecar/node/attempts.rs
+++ b/src/sidecar/node/attempts.rs
@@ -38,12 +38,15 @@
             self.queue_event(event);
             return;
         };
-        let deadline = open_request.deadline();
+        let request_deadline = open_request.deadline();
         let spec = AttemptSpec {
             request,
             attempt,
             target,
-            deadline: timeout.map_or(deadline, |timeout| deadline.min(now + timeout)),
+            deadline: timeout.map_or(request_deadline, |timeout| {
+                request_deadline.min(now + timeout)
+            }),
+            request_deadline,
             forwarded: open_request.forwarded().clone(),
         };
         let task = Task::spawn(endpoint::run_attempt(handle.clone(), spec));
--- a/tests/sidecar/large_responses.rs
+++ b/tests/sidecar/large_responses.rs
@@ -6,8 +6,12 @@
 use std::net::Shutdown;
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 const MB: usize = 1 << 20;
+/// The length of a slow response, and of its parts. The parts that are sent within a second are less than 64 KiB.
+const SLOW_LENGTH: usize = 192 << 10;
+const SLOW_PART: usize = 2 << 10;
 
 /// A large response in each framing arrives unchanged, and its beginning arrives before its end has been sent.
 #[test]
@@ -134,6 +138,64 @@
     });
 }
 
+/// The time between two parts of a response, longer than which an endpoint does not pause.
+const PART_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Guards against a response of undeclared length that is held back until 64 KiB of it are there, and cut off at the
+/// class's objective although its endpoint still sends (`review/9`). The endpoint sends small parts slowly until the
+/// client has the beginning.
+#[test]
+fn slow_response_of_undeclared_length_is_streamed() {
+    for framing in ["Transfer-Encoding: chunked", "Connection: close"] {
+        for class in ["unsafe", "safe"] {
+            let (has_begun, client_has_begun) = channel::<()>();
+            let client_has_begun = Mutex::new(client_has_begun);
+            let endpoint = RawEndpoint::start(move |head, stream| {
+                read_body(head, stream).expect("the request's body");
+                let mut write = |bytes: &[u8]| stream.get_mut().write_all(bytes);
+                let is_chunked = framing.contains("chunked");
+                let frame = |part: &[u8]| {
+                    if is_chunked {
+                        chunk(part)
+                    } else {
+                        part.to_vec()
+                    }
+                };
+                let mut written = write(format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").as_bytes());
+                let body = pattern(SLOW_LENGTH);
+                let mut rest = &body[..];
+                let receiver = client_has_begun.lock().expect("the lock is not poisoned");
+                while written.is_ok() && rest.len() > SLOW_PART {
+                    let (part, next) = rest.split_at(SLOW_PART);
+                    (written, rest) = (write(&frame(part)), next);
+                    if receiver.recv_timeout(PART_INTERVAL).is_ok() {
+                        break;
+                    }
+                }
+                let end: &[u8] = if is_chunked { b"0\r\n\r\n" } else { b"" };
+                let _ = write(&[&frame(rest)[..], end].concat());
+                let _ = stream.get_mut().shutdown(Shutdown::Write);
+            });
+            let (sidecar, _discovery) = start_sidecar_with(&[endpoint.address], |config| {
+                with_deadline(config, Duration::from_secs(1))
+            });
+            let mut client = connect(&sidecar);
+            let request = match class {
+                "safe" => get_request("1"),
+                _ => post_request("unsafe", "1", "x"),
+            };
+            send(&mut client, request.as_bytes());
+            let head = read_head(&mut client).expect("an answer");
+            assert_eq!(status(&head), "200", "{framing}, {class}");
+            has_begun.send(()).expect("the endpoint waits");
+            assert!(
+                read_body(&head, &mut client).as_deref() == Some(&pattern(SLOW_LENGTH)),
+                "{framing}, {class}"
+            );
+        }
+    }
+}
+
 /// When a response ends early after its beginning was forwarded, the client gets a truncated body. The request is
 /// counted as failed and is not tried again.
 #[test]
