Give hyper a streamed answer's next frame only once the last one is written

Cause: about 100 kB a client. hyper collects frames until 32 KiB wait to be written, behind a channel and a read buffer that hold 16 KiB each; the reservation of buffered bytes ended before they were written. Ruled out by a trial rig with 341 and 600 clients: heads with many fields (8 to 13 MB; over 100 fields get 431), unfinished heads (15 and 25 MB), uploads that are slow or stop (10 to 22 MB).

Change: a frame follows the flush of the one before; buffered bytes stay reserved until their last reference is dropped.

Result: many_unread_responses_stay_within_the_memory_limit fails before (34,157 kB for 341 clients) and passes.

--- a/src/sidecar/body/buffered_response.rs
+++ b/src/sidecar/body/buffered_response.rs
@@ -2,6 +2,7 @@
 
 use super::error::BodyTransferError;
 use super::limits::exceeds_buffer;
+use crate::sidecar::memory::MemoryReservation;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -44,6 +45,27 @@
     FirstBytes,
 }
 
+impl ReceivedResponse {
+    /// Keeps the memory of the received bytes reserved until they have been written to the client.
+    #[must_use]
+    pub fn with_reservation(self, reservation: MemoryReservation) -> Self {
+        match self {
+            ReceivedResponse::Complete(body) => {
+                ReceivedResponse::Complete(reservation.attach(body))
+            }
+            ReceivedResponse::Partial {
+                buffered,
+                remaining,
+                length,
+            } => ReceivedResponse::Partial {
+                buffered: reservation.attach(buffered),
+                remaining,
+                length,
+            },
+        }
+    }
+}
+
 impl Buffering {
     /// Returns the time up to which a body whose first bytes arrive now is held back. `None` if that is not limited.
     fn hold_until(self) -> Option<Instant> {
--- a/src/sidecar/endpoint/attempt.rs
+++ b/src/sidecar/endpoint/attempt.rs
@@ -196,7 +196,11 @@
             None => Buffering::FirstBytes,
         };
         let receive_body = connection.receive_body(response, buffering);
-        timeout.limit(extension, receive_body).await.map(Ok)
+        let mut response = timeout.limit(extension, receive_body).await?;
+        if let Some(reservation) = reservation {
+            response.body = response.body.map(|body| body.with_reservation(reservation));
+        }
+        Some(Ok(response))
     }
 
     /// Returns the result of an attempt that got a response. The connection returns to the pool once the response is
--- a/src/sidecar/memory.rs
+++ b/src/sidecar/memory.rs
@@ -1,20 +1,23 @@
-//! Memory budgets for buffered bodies of pending requests and of responses that are being received.
+//! Memory budgets for buffered bodies of pending requests and of responses.
 
-use std::cell::Cell;
-use std::rc::Rc;
+use bytes::Bytes;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 /// A budget of bytes, shared by its clones.
 #[derive(Clone, Debug)]
 pub struct MemoryBudget {
     limit: usize,
-    reserved: Rc<Cell<usize>>,
+    reserved: Arc<AtomicUsize>,
 }
 
 /// A reservation of bytes for one body, which ends when it is dropped.
+///
+/// It is counted atomically only because the owner of a [`Bytes`] has to be [`Send`].
 #[derive(Debug)]
 pub struct MemoryReservation {
     size: usize,
-    reserved: Rc<Cell<usize>>,
+    reserved: Arc<AtomicUsize>,
 }
 
 impl MemoryBudget {
@@ -22,17 +25,16 @@
     pub fn fraction_of(memory_mb: usize, divisor: usize) -> Self {
         MemoryBudget {
             limit: (memory_mb << 20) / divisor,
-            reserved: Rc::default(),
+            reserved: Arc::default(),
         }
     }
 
     /// Reserves `size` bytes. Returns `None` if the budget does not have them left.
     pub fn reserve(&self, size: usize) -> Option<MemoryReservation> {
-        let total = self.reserved.get() + size;
-        if total > self.limit {
+        if self.reserved.load(Ordering::Relaxed) + size > self.limit {
             return None;
         }
-        self.reserved.set(total);
+        self.reserved.fetch_add(size, Ordering::Relaxed);
         Some(MemoryReservation {
             size,
             reserved: self.reserved.clone(),
@@ -40,8 +42,42 @@
     }
 }
 
+impl MemoryReservation {
+    /// Returns the same bytes, which keep the memory that they take reserved until the last reference to them is dropped.
+    pub fn attach(mut self, bytes: Bytes) -> Bytes {
+        self.resize(bytes.len());
+        Bytes::from_owner(ReservedBytes {
+            bytes,
+            _reservation: self,
+        })
+    }
+
+    /// Changes the size, also beyond the budget.
+    fn resize(&mut self, size: usize) {
+        self.reserved.fetch_add(size, Ordering::Relaxed);
+        self.reserved.fetch_sub(self.size, Ordering::Relaxed);
+        self.size = size;
+    }
+}
+
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
-        self.reserved.set(self.reserved.get() - self.size);
+        self.reserved.fetch_sub(self.size, Ordering::Relaxed);
     }
 }
+
+/// Bytes with the reservation of the memory that they take.
+struct ReservedBytes {
+    bytes: Bytes,
+    _reservation: MemoryReservation,
+}
+
+impl AsRef<[u8]> for ReservedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+#[cfg(test)]
+#[path = "memory_tests.rs"]
+mod tests;
--- a/src/sidecar/server/streamed_reply.rs
+++ b/src/sidecar/server/streamed_reply.rs
@@ -24,6 +24,8 @@
     tracker: Option<RequestTracker>,
     /// The state of the caller's connection, which is notified when the body has ended.
     state: Option<Rc<ConnectionState>>,
+    /// The connection's count of flushes when the last frame was given to hyper, until that frame has been flushed.
+    unflushed_since: Option<u64>,
 }
 
 /// The origin of the next frame.
@@ -47,6 +49,7 @@
             source: Source::Response(response),
             tracker: None,
             state: None,
+            unflushed_since: None,
         }
     }
 
@@ -57,13 +60,20 @@
     }
 
     /// Polls for the next frame. Returns `None` at the end.
+    ///
+    /// The next frame is ready only once the last one has been written to the caller. hyper would collect several of
+    /// them for a caller that reads slowly, and there may be hundreds of such callers.
     pub fn poll_frame(&mut self, context: &mut Context<'_>) -> FramePoll {
+        ready!(self.poll_flushed(context));
         if let Source::Response(response) = &mut self.source {
             let frame = Pin::new(&mut **response).poll_frame(context);
             let Poll::Ready(Some(Err(error))) = frame else {
                 if response.is_complete() {
                     self.end_tracking(StatusCode::OK);
                 }
+                if frame.is_ready() {
+                    self.unflushed_since = self.flush_count();
+                }
                 return frame;
             };
             self.fail(error);
@@ -71,14 +81,25 @@
         self.poll_failure(context)
     }
 
+    /// Ready once the last frame has been written to the caller's socket.
+    fn poll_flushed(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        if let (Some(state), Some(count)) = (&self.state, self.unflushed_since) {
+            ready!(state.flushes().poll_more_than(count, context));
+            self.unflushed_since = None;
+        }
+        Poll::Ready(())
+    }
+
+    /// Returns the count of the connection's flushes.
+    fn flush_count(&self) -> Option<u64> {
+        self.state.as_ref().map(|state| state.flushes().count())
+    }
+
     /// Replaces the response, which closes its connection to the endpoint, by the failure that ends the reply.
     fn fail(&mut self, error: BodyTransferError) {
         self.source = Source::Failed {
             error: Some(error),
-            flushes: self
-                .state
-                .as_ref()
-                .map_or(0, |state| state.flushes().count()),
+            flushes: self.flush_count().unwrap_or_default(),
             remaining: self.size_hint(),
         };
         self.end_tracking(StatusCode::BAD_GATEWAY);
--- a/tests/sidecar/large_responses.rs
+++ b/tests/sidecar/large_responses.rs
@@ -4,6 +4,7 @@
 use crate::stubs::*;
 use std::io::{Read, Write};
 use std::net::Shutdown;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -13,6 +14,69 @@
 const SLOW_LENGTH: usize = 192 << 10;
 const SLOW_PART: usize = 2 << 10;
 
+/// The smallest memory that a sidecar may have with the most descriptors, and how many clients it may have then: a third
+/// of the descriptors.
+const MIN_MEMORY_KB: usize = 32 << 10;
+const MAX_CLIENTS: usize = 1_024 / 3;
+/// The numbers of clients with which the memory is measured. The kernel buffers 5 MB for each of them.
+const FEW_CLIENTS: usize = 32;
+const MANY_CLIENTS: usize = 128;
+
+/// Waits until the value stays the same between two looks.
+fn wait_until_constant(description: &str, value: impl Fn() -> usize) {
+    let mut last = usize::MAX;
+    wait_until(description, || {
+        std::thread::sleep(PART_INTERVAL);
+        std::mem::replace(&mut last, value()) == value()
+    });
+}
+
+/// Guards the memory limit: many clients read nothing of their long answers (`review/10`). Framed by a length or by
+/// chunks, the answers wait at the endpoints and in the kernel, and what each client takes in the sidecar leaves room for
+/// as many clients as there may be.
+#[test]
+fn many_unread_responses_stay_within_the_memory_limit() {
+    for framing in ["Content-Length: 33554432", "Transfer-Encoding: chunked"] {
+        let sent = Arc::new(AtomicUsize::new(0));
+        let sent_by_endpoint = sent.clone();
+        let endpoint = RawEndpoint::start(move |_, stream| {
+            let part = vec![b'x'; 8 << 10];
+            let frame = if framing.contains("chunked") {
+                chunk(&part)
+            } else {
+                part
+            };
+            let head = format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n");
+            let mut written = stream.get_mut().write_all(head.as_bytes());
+            for _ in 0..32 * MB / (8 << 10) {
+                written = written.and_then(|()| stream.get_mut().write_all(&frame));
+                sent_by_endpoint.fetch_add(1, Ordering::Relaxed);
+            }
+        });
+        let (sidecar, _discovery) = start_sidecar(&[endpoint.address]);
+        let mut clients = Vec::new();
+        let mut memory_with_clients = |count: usize| {
+            clients.resize_with(count, || {
+                let mut client = connect(&sidecar);
+                send(&mut client, get_request("15").as_bytes());
+                let head = read_head(&mut client).expect("the beginning");
+                assert_eq!(status(&head), "200");
+                client
+            });
+            wait_until_constant("the endpoints are blocked", || sent.load(Ordering::Relaxed));
+            sidecar.own_memory_kb()
+        };
+        let with_few = memory_with_clients(FEW_CLIENTS);
+        let with_many = memory_with_clients(MANY_CLIENTS);
+        let for_one = (with_many - with_few) as f64 / (MANY_CLIENTS - FEW_CLIENTS) as f64;
+        let with_most = with_few as f64 + for_one * (MAX_CLIENTS - FEW_CLIENTS) as f64;
+        assert!(
+            with_most < MIN_MEMORY_KB as f64,
+            "{framing}: {for_one:.1} kB a client, {with_most:.0} kB in all"
+        );
+    }
+}
+
 /// A large response in each framing arrives unchanged, and its beginning arrives before its end has been sent.
 #[test]
 fn large_responses_are_streamed_unchanged() {
--- a/tests/sidecar/stubs/program.rs
+++ b/tests/sidecar/stubs/program.rs
@@ -252,12 +252,21 @@
 
     /// Returns the process's resident memory in kB.
     pub fn memory_kb(&self) -> usize {
+        self.status_kb("VmRSS:")
+    }
+
+    /// Returns the process's resident memory in kB without mapped files, such as the program itself.
+    pub fn own_memory_kb(&self) -> usize {
+        self.status_kb("RssAnon:")
+    }
+
+    fn status_kb(&self, name: &str) -> usize {
         let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))
             .expect("the process runs");
         let line = status
             .lines()
-            .find_map(|line| line.strip_prefix("VmRSS:"))
-            .expect("a line with the resident memory");
+            .find_map(|line| line.strip_prefix(name))
+            .expect("a line with this name");
         line.trim()
             .trim_end_matches(" kB")
             .parse()
