Ask the kernel whether the client has left before a pipelined request is submitted

Cause: the FIN stands behind bytes that fill the receive buffer, and only the response makes the client's kernel reset the connection. hyper goes on to the next request in the same turn, before the runtime is notified.

Change: the state of the connection notes that a head arrived before the response before it was complete; such a request is submitted only if a poll of the socket shows neither FIN nor reset. Other requests cost nothing more.

--- a/src/sidecar/caller/connection_state.rs
+++ b/src/sidecar/caller/connection_state.rs
@@ -14,6 +14,7 @@
 //!   read as a request. A head that times out after it was forwarded to hyper is answered with this error, too.
 //! - `is_closing_idle`: the connection closes unless its next request has already arrived. hyper closes it only between
 //!   requests. Until then, the connection can be in any phase.
+//! - `is_pipelined`: the first bytes of the last head arrived before the response to the request before it was complete.
 //! - `has_received_head`: selects [`Phase::Idle`] or [`Phase::AwaitingFirstHead`] after an error response.
 
 use super::flush_counter::FlushCounter;
@@ -57,6 +58,7 @@
     /// The time of acceptance, or of the last read from the socket apart from reads of forwarded bodies.
     last_byte_at: Cell<Instant>,
     has_received_head: Cell<bool>,
+    is_pipelined: Cell<bool>,
     read_position: ReadPosition,
     /// Wakes the reader, which reads the next request only once the response is ready.
     reader_waker: RefCell<Option<Waker>>,
@@ -77,6 +79,7 @@
             phase: Cell::new(Phase::AwaitingFirstHead { since: now }),
             last_byte_at: Cell::new(now),
             has_received_head: Cell::new(false),
+            is_pipelined: Cell::new(false),
             read_position: ReadPosition::default(),
             reader_waker: RefCell::new(None),
             head_error: Cell::new(None),
@@ -127,15 +130,32 @@
         let now = Instant::now();
         self.last_byte_at.set(now);
         if bytes > 0 {
-            self.phase.set(self.phase.get().head_started(now));
+            self.start_head(now);
         }
     }
 
+    /// Records that bytes of a head are there, which may be the first of it.
+    fn start_head(&self, now: Instant) {
+        let phase = self.phase.get();
+        match phase {
+            Phase::AwaitingFirstHead { .. } | Phase::Idle { .. } => self.is_pipelined.set(false),
+            Phase::Streaming { next: None } => self.is_pipelined.set(true),
+            _ => {}
+        }
+        self.phase.set(phase.head_started(now));
+    }
+
     /// Records that the reader has reached the next request, some bytes of which have already arrived. Its head timeout
     /// starts now, because the reader did not process these bytes while the previous request was answered.
     pub fn next_head_started(&self) {
-        self.phase
-            .set(self.phase.get().head_started(Instant::now()));
+        self.start_head(Instant::now());
+        self.is_pipelined.set(true);
+    }
+
+    /// Returns whether the first bytes of the last head arrived before the response to the request before it was
+    /// complete. The client may have closed the connection before it had that response.
+    pub fn is_pipelined(&self) -> bool {
+        self.is_pipelined.get()
     }
 
     /// Records that all bytes of a head have arrived, valid or not.
--- a/src/sidecar/server/caller_connection.rs
+++ b/src/sidecar/server/caller_connection.rs
@@ -5,6 +5,7 @@
 use crate::sidecar::caller::{Admission, CallerArrival, ConnectionState};
 use crate::sidecar::descriptors::DescriptorPermit;
 use crate::sidecar::node::NodeHandle;
+use crate::sidecar::sockets;
 use std::rc::Rc;
 use tokio::net::TcpStream;
 
@@ -38,6 +39,14 @@
         RequestDeadline::new(Rc::new(arrival), shutdown)
     }
 
+    /// Returns whether the client is known to have closed the connection before its pipelined request is submitted.
+    ///
+    /// If the client closed it with many bytes unread here, its FIN waits behind them, and only the response to the
+    /// request before this one has made its machine reset the connection.
+    pub fn has_client_left(&self) -> bool {
+        self.state.is_pipelined() && sockets::has_peer_closed(&self.stream)
+    }
+
     /// Returns whether the connection's requests are rejected because there are no descriptors for it.
     pub fn is_rejected_early(&self) -> bool {
         self.admission == Admission::RejectedEarly
--- a/src/sidecar/server/forward.rs
+++ b/src/sidecar/server/forward.rs
@@ -67,6 +67,9 @@
     if received.upload.is_none() {
         tracker.mark_received();
     }
+    if caller.has_client_left() {
+        std::future::pending::<()>().await; // the connection is about to be dropped, as `client_disconnected` ends
+    }
     parsed.request.deadline = node.borrow().request_deadline(parsed.time_left);
     let timeout = parsed.response_timeout(node, persistence);
     let upload = received.upload.clone();
--- a/src/sidecar/sockets.rs
+++ b/src/sidecar/sockets.rs
@@ -1,6 +1,7 @@
 //! Reads from and writes to sockets that have more than one owner.
 
 use bytes::BufMut;
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use socket2::SockRef;
 use std::io;
 use std::mem::MaybeUninit;
@@ -69,6 +70,17 @@
     rustix::io::ioctl_fionread(stream).unwrap_or_default() // fails only for what is not a connection
 }
 
+/// Returns whether the peer has sent FIN or has reset the connection, also while received bytes are unread. Asks the
+/// kernel, because the runtime is notified later.
+pub fn has_peer_closed(stream: &TcpStream) -> bool {
+    let mut descriptors = [PollFd::new(stream, PollFlags::RDHUP)];
+    let no_wait = Timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    poll(&mut descriptors, Some(&no_wait)).is_ok_and(|ready| ready > 0)
+}
+
 /// The state of a connection's receiving side.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SocketState {
--- a/tests/sidecar/client_disconnects.rs
+++ b/tests/sidecar/client_disconnects.rs
@@ -6,7 +6,8 @@
 };
 use crate::stubs::*;
 use serde_json::{Value, json};
-use std::io::Read;
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::time::Duration;
 
 /// Queues requests of clients that disconnect, each in another way, and of clients that stay, and then lists an
@@ -411,3 +412,53 @@
         let _ = std::fs::remove_dir_all(directory);
     }
 }
+
+/// Enough pipelined requests to fill the sidecar's receive buffer, so that the client's FIN waits in its own kernel.
+const PIPELINED_REQUESTS: usize = 5_000;
+
+/// Guards against requests that are sent on after their client has closed the connection. Its FIN cannot arrive, because
+/// more requests wait than the sidecar's kernel takes. Only the response to the first one makes the client's kernel
+/// reset the connection, when the second one has already been read.
+#[test]
+fn response_to_a_closed_client_cancels_its_pipelined_requests() {
+    let (opener, gate) = response_gate();
+    let endpoint = Endpoint::start(move |_| {
+        gate.wait();
+        respond_ok("x")
+    });
+    let (sidecar, _discovery) = Sidecar::start_with_admin(&[&endpoint]);
+    // Two idle connections to the endpoint, so that the second request needs no dial.
+    let mut clients = [0, 1].map(|_| sidecar.client());
+    for client in &mut clients {
+        client.write(&get_request("10"));
+        endpoint.next_request();
+    }
+    for client in &mut clients {
+        opener.release_one();
+        assert_eq!(client.read().expect("an answer").status(), 200);
+    }
+    for _ in 0..5 {
+        let requests: String = (0..PIPELINED_REQUESTS).map(|_| get_request("10")).collect();
+        let mut stream = TcpStream::connect(sidecar.address).expect("the sidecar accepts");
+        stream
+            .write_all(requests.as_bytes())
+            .expect("the kernel takes all of it");
+        endpoint.next_request();
+        drop(stream);
+        opener.release_one();
+        wait_until("the connection has ended", || {
+            sidecar.metric("pending") == Some(0)
+        });
+        // A request that had been sent would be answered before this one.
+        opener.release_one();
+        let mut client = sidecar.client();
+        client.write(&post_request("unsafe", "10", "x"));
+        let next = endpoint.next_request().message;
+        assert_eq!(
+            next.header("x-class"),
+            Some("unsafe"),
+            "a request of the closed client"
+        );
+        assert_eq!(client.read().expect("an answer").status(), 200);
+    }
+}
