Remember the ids of unsafe requests that may have run, also across a hot restart

Cause: only open requests had their ids remembered, and an attempt that is cancelled as its client leaves may have run. The processes of a hot restart did not tell each other.

A rejected request has not run and is forgotten. Both processes of a hot restart report ids to each other.

--- a/src/sidecar/endpoint/attempt.rs
+++ b/src/sidecar/endpoint/attempt.rs
@@ -96,6 +96,7 @@
                 self.host.overdue_list_used();
                 return AttemptResult::without_response(Outcome::NotSent);
             }
+            self.host.attempt_begins(self.spec);
             let written_before = acquired.connection.progress().bytes_written();
             let failure = match self.exchange(&mut acquired.connection, deadline).await {
                 Some(Ok(response)) => {
--- a/src/sidecar/endpoint/host.rs
+++ b/src/sidecar/endpoint/host.rs
@@ -49,6 +49,9 @@
     /// and the endpoint may have changed while the connection was established.
     fn may_write(&self, spec: &AttemptSpec) -> bool;
 
+    /// Reports that an attempt begins to be written.
+    fn attempt_begins(&self, spec: &AttemptSpec);
+
     /// Reports that an endpoint refused a connection or reset an idle one, which means that its process has ended.
     fn process_ended(&self, target: &EndpointProcess);
 
--- a/src/sidecar/hot_restart/message.rs
+++ b/src/sidecar/hot_restart/message.rs
@@ -16,6 +16,10 @@
     /// Announces that the sender is shutting down and will soon stop accepting callers.
     #[serde(rename = "stopping")]
     ShuttingDown,
+    /// Reports requests that must not run twice and of which the sender has begun an attempt. The receiver does not send
+    /// them again.
+    #[serde(rename = "sent")]
+    SentRequests(Vec<String>),
     /// Reports that operators have disabled or enabled an endpoint.
     #[serde(rename = "disabled")]
     AdminState {
--- a/src/sidecar/hot_restart/other_processes.rs
+++ b/src/sidecar/hot_restart/other_processes.rs
@@ -57,6 +57,12 @@
         self.processes.remove(&id);
     }
 
+    /// Returns whether no other process runs.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.processes.is_empty()
+    }
+
     /// Returns whether a process still runs.
     #[must_use]
     pub fn contains(&self, id: OtherProcessId) -> bool {
--- a/src/sidecar/node/endpoint_host.rs
+++ b/src/sidecar/node/endpoint_host.rs
@@ -71,6 +71,12 @@
             && node.clock.now() < spec.deadline
     }
 
+    fn attempt_begins(&self, spec: &AttemptSpec) {
+        if !spec.forwarded.is_repeatable {
+            self.borrow().remember_sent_request(&spec.request);
+        }
+    }
+
     fn process_ended(&self, target: &EndpointProcess) {
         if self.borrow().endpoints.is_same_process(target) {
             self.handle(Event::ProcessEnded {
--- a/src/sidecar/node/hot_restart.rs
+++ b/src/sidecar/node/hot_restart.rs
@@ -1,6 +1,6 @@
 //! The other processes of this sidecar during a hot restart, and the directory that they share with this one.
 
-use crate::policy::EndpointId;
+use crate::policy::{EndpointId, RequestId};
 use crate::sidecar::admin_state::AdminState;
 use crate::sidecar::hot_restart::{
     OtherProcessId, OtherProcesses, ProcessMessage, SharedDirectory,
@@ -8,6 +8,11 @@
 use std::collections::BTreeSet;
 use std::rc::Rc;
 
+/// The maximum length of all ids in one message in bytes. Each byte of an id may be escaped, and a message has 4 KiB at most.
+const MAX_SENT_IDS_LENGTH: usize = 1 << 10;
+/// The length in bytes that a message takes for an id in addition to the id itself.
+const ID_OVERHEAD: usize = 3;
+
 /// The other processes of the same sidecar during a hot restart, and the directory that all of them share.
 pub struct HotRestart {
     processes: OtherProcesses,
@@ -52,6 +57,27 @@
         self.processes.send(&message, origin);
     }
 
+    /// Reports to all other processes that attempts of these requests have begun, which must not run twice.
+    pub fn broadcast_sent_requests<'a>(&self, requests: impl IntoIterator<Item = &'a RequestId>) {
+        if self.processes.is_empty() {
+            return;
+        }
+        let mut ids = Vec::new();
+        let mut length = 0;
+        for request in requests {
+            if length + request.0.len() > MAX_SENT_IDS_LENGTH {
+                let message = ProcessMessage::SentRequests(std::mem::take(&mut ids));
+                self.broadcast(&message);
+                length = 0;
+            }
+            length += request.0.len() + ID_OVERHEAD;
+            ids.push(request.0.to_string());
+        }
+        if !ids.is_empty() {
+            self.broadcast(&ProcessMessage::SentRequests(ids));
+        }
+    }
+
     /// Returns the disabled endpoints stored in the shared directory. Returns `None` if nothing is stored or there is
     /// no directory.
     pub fn stored_disabled_endpoints(&self) -> Option<BTreeSet<String>> {
--- a/src/sidecar/node/mod.rs
+++ b/src/sidecar/node/mod.rs
@@ -34,6 +34,7 @@
 mod reload;
 mod report;
 mod requests;
+mod sent_requests;
 mod state;
 
 pub use active_configuration::ResolvedSettings;
--- a/src/sidecar/node/open_request.rs
+++ b/src/sidecar/node/open_request.rs
@@ -29,6 +29,9 @@
     /// Another request with the same id is open.
     #[error("a request with this id is open")]
     DuplicateId,
+    /// The request must not run twice, and an attempt of a request with the same id has begun before.
+    #[error("a request with this id was sent to an endpoint before")]
+    AlreadySent,
     /// The limit of unanswered requests is reached.
     #[error("too many requests are unanswered")]
     TooManyUnanswered,
--- a/src/sidecar/node/process_messages.rs
+++ b/src/sidecar/node/process_messages.rs
@@ -56,6 +56,13 @@
         }
     }
 
+    /// Sends the requests that must not run twice to the other processes. Their clients may send them there next.
+    pub fn send_sent_requests(&self) {
+        let node = self.borrow();
+        node.hot_restart
+            .broadcast_sent_requests(node.sent_requests.iter());
+    }
+
     /// Removes a process that has ended. Its open connections no longer count. Applies the stored disabled endpoints,
     /// because the process may have stored a last change without sending it.
     pub fn other_process_ended(&self, process: OtherProcessId) {
@@ -110,6 +117,13 @@
                 node.connections
                     .set_other_process_connections(node.hot_restart.processes().open_connections());
             }
+            ProcessMessage::SentRequests(ids) => {
+                let mut node = self.borrow();
+                let now = node.clock.now();
+                for id in &ids {
+                    node.sent_requests.insert(now, &id.as_str().into());
+                }
+            }
             ProcessMessage::Serving => {
                 self.borrow().connections.suspend_accepting();
                 log!("hot restart: the new process accepts callers");
--- a/src/sidecar/node/requests.rs
+++ b/src/sidecar/node/requests.rs
@@ -14,13 +14,18 @@
     /// [`NodeHandle::client_disconnected`] or [`NodeHandle::deadline_exceeded`] is called first.
     ///
     /// # Errors
-    /// The limit of unanswered requests is reached, or a request with this id is open. The request was then not run.
+    /// The limit of unanswered requests is reached, a request with this id is open, or one that must not run twice was
+    /// sent before. The request was then not run.
     pub fn submit(
         &self,
         mut request: Request,
         forwarded: ForwardedRequest,
     ) -> Result<oneshot::Receiver<FinalAnswer>, SubmitError> {
         let mut node = self.borrow();
+        let now = node.clock.now();
+        if !forwarded.is_repeatable && node.sent_requests.contains(now, &request.id) {
+            return Err(SubmitError::AlreadySent);
+        }
         let settings = node.configuration.settings();
         let max_open_requests = settings.limits.max_open_requests;
         // A request that was parsed under the settings before a reload may have a tenant that is not in the settings
@@ -75,9 +80,20 @@
 impl Node {
     /// Gives a request its final answer, unless it has one or its client has disconnected.
     pub fn answer(&mut self, request: &RequestId, answer: FinalAnswer) {
+        if matches!(answer, FinalAnswer::Rejected { .. }) {
+            self.sent_requests.remove(request); // it has not run, and trying again is harmless
+        }
         self.requests.answer(request, answer);
     }
 
+    /// Remembers a request that must not run twice and of which an attempt begins, here and in the other processes of a
+    /// hot restart.
+    pub(super) fn remember_sent_request(&mut self, request: &RequestId) {
+        let now = self.clock.now();
+        self.sent_requests.insert(now, request);
+        self.hot_restart.broadcast_sent_requests([request]);
+    }
+
     /// Counts a request that is rejected before the balancer receives it. Returns the time for its Retry-After header.
     pub fn reject_early(&mut self) -> Option<Duration> {
         self.counters.request_rejected_early();
--- a/src/sidecar/node/state.rs
+++ b/src/sidecar/node/state.rs
@@ -5,6 +5,7 @@
 use super::endpoints::Endpoints;
 use super::hot_restart::HotRestart;
 use super::open_requests::OpenRequests;
+use super::sent_requests::SentRequests;
 use crate::clock::Clock;
 use crate::configuration::Config;
 use crate::policy::{Action, Balancer, DiscoveryMode, EndpointId, Event, ListKind, SettingsError};
@@ -36,6 +37,7 @@
     pub(super) endpoints: Endpoints,
     pub(super) connections: Connections,
     pub(super) hot_restart: HotRestart,
+    pub(super) sent_requests: SentRequests,
     request_memory: MemoryBudget,
     response_memory: MemoryBudget,
     /// The counters since the last counters line of the log.
@@ -149,6 +151,7 @@
             endpoints: Endpoints::new(config.discovery, clock.now()),
             connections: Connections::new(&config.settings.limits, descriptors),
             hot_restart: HotRestart::new(directory),
+            sent_requests: SentRequests::default(),
             request_memory: MemoryBudget::fraction_of(config.max_memory_mb, REQUEST_MEMORY_DIVISOR),
             response_memory: MemoryBudget::fraction_of(
                 config.max_memory_mb,
--- a/src/sidecar/server/forward.rs
+++ b/src/sidecar/server/forward.rs
@@ -77,7 +77,12 @@
     let mut pending = match PendingRequest::begin(node, parsed.request, forwarded) {
         Ok(pending) => pending,
         Err(SubmitError::TooManyUnanswered) => return Ok(caller.reject_early()),
-        Err(SubmitError::DuplicateId) => return Err(duplicate_id_error()),
+        Err(SubmitError::DuplicateId) => {
+            return Err(id_conflict("a request with this id is open"));
+        }
+        Err(SubmitError::AlreadySent) => {
+            return Err(id_conflict("a request with this id was sent before"));
+        }
     };
     let answer = match upload {
         None => timeout.wait(&mut pending.answer).await,
@@ -95,7 +100,6 @@
     node.borrow().request_memory().reserve(buffer_size(body))
 }
 
-fn duplicate_id_error() -> RequestError {
-    RequestError::new(StatusCode::CONFLICT, "a request with this id is open")
-        .with_body_unread(false)
+fn id_conflict(text: &'static str) -> RequestError {
+    RequestError::new(StatusCode::CONFLICT, text).with_body_unread(false)
 }
--- a/tests/sidecar/hot_restart.rs
+++ b/tests/sidecar/hot_restart.rs
@@ -345,3 +345,29 @@
         "no request has ended"
     );
 }
+
+/// Guards against a request that must not run twice and comes to the other process of a hot restart under its id: to the new
+/// process, which starts later, and to the old one.
+#[test]
+fn unsafe_request_is_not_sent_again_by_the_other_process() {
+    let endpoint = Endpoint::start(|_| respond_ok("x"));
+    let deployment = Deployment::with_endpoints(&[&endpoint]);
+    let old_process = deployment.start(None);
+    let mut client_of_old = old_process.client();
+    assert_eq!(client_of_old.exchange(READY_REQUEST).status(), 200);
+    let requests = [0, 1].map(|_| post_request("unsafe", "10", "x"));
+    assert_eq!(old_process.client().exchange(&requests[0]).status(), 200);
+    let new_process = deployment.start(Some(old_process.address));
+    old_process.wait_for_log("the new process accepts callers");
+
+    let mut client_of_new = new_process.client();
+    assert_eq!(client_of_new.exchange(&requests[0]).status(), 409);
+    assert_eq!(client_of_new.exchange(&requests[1]).status(), 200);
+    // Messages are written in order: the old process has the id once it has seen the endpoint disabled.
+    assert!(new_process.admin_answers_yes("DISABLE e0"));
+    wait_until("the old process has the message", || {
+        old_process.metric("members_unavailable") == Some(1)
+    });
+    assert_eq!(client_of_old.exchange(&requests[1]).status(), 409);
+    assert_eq!(endpoint.take_request_count(), 2);
+}
