Count a streamed request from what its client has written, not from what has arrived

Cause: the time counted from the arrival of the last byte. Once the receive buffer is full the rest waits in the client's kernel and arrives as slowly as the endpoint reads. Beside that, the client counted as awaited whenever its connection's task had not yet read the next part.

Change: bytes that arrive while the receive buffer was full count from the last look at which it had room, as far as a client's kernel holds them (4 MiB). The client is awaited only if nothing waits in the kernel. One test let a body complete of which no byte had arrived; its bytes arrive first now, and its assertion is the same.

--- a/src/sidecar/body/request_deadline_tests.rs
+++ b/src/sidecar/body/request_deadline_tests.rs
@@ -12,14 +12,19 @@
 
 /// A connection on which the test lets bytes arrive.
 #[derive(Debug, Default)]
-struct Arrival {
+struct Connection {
+    read: Cell<u64>,
     bytes: Cell<u64>,
     request_end: Option<u64>,
 }
 
-impl ConnectionArrival for Arrival {
-    fn arrived_bytes(&self) -> u64 {
-        self.bytes.get()
+impl ConnectionArrival for Connection {
+    fn read_bytes(&self) -> u64 {
+        self.read.get()
+    }
+
+    fn unread_bytes(&self) -> u64 {
+        self.bytes.get() - self.read.get()
     }
 
     fn request_end(&self) -> Option<u64> {
@@ -29,16 +34,16 @@
 
 /// A deadline of which the test sees the connection and the shutdown.
 struct Fixture {
-    arrival: Rc<Arrival>,
+    arrival: Rc<Connection>,
     shutdown: ShutdownDeadline,
     deadline: RequestDeadline,
 }
 
 impl Fixture {
     fn new(request_end: Option<u64>) -> Self {
-        let arrival = Rc::new(Arrival {
-            bytes: Cell::default(),
+        let arrival = Rc::new(Connection {
             request_end,
+            ..Connection::default()
         });
         let shutdown = ShutdownDeadline::default();
         let deadline = RequestDeadline::new(arrival.clone(), shutdown.clone());
@@ -74,6 +79,8 @@
     let fixture = Fixture::new(Some(BODY_LENGTH));
     let waited = fixture.wait_during(async {
         sleep(SECOND).await;
+        fixture.arrival.bytes.set(BODY_LENGTH);
+        fixture.arrival.read.set(BODY_LENGTH);
         fixture.deadline.on_body_complete();
     });
     assert_about(waited.await, SECOND + TIME_LEFT);
@@ -128,7 +135,7 @@
 #[tokio::test(start_paused = true)]
 async fn client_of_undeclared_length_may_pause_while_everything_is_read() {
     let fixture = Fixture::new(None);
-    fixture.deadline.on_client_awaited();
+    fixture.deadline.on_nothing_to_read();
     assert_about(fixture.wait_during(async {}).await, MAX_PAUSE);
 }
 
@@ -152,3 +159,87 @@
     });
     assert_about(waited.await, TIME_LEFT);
 }
+
+/// The bytes that wait unread while the receive buffer is full.
+const FULL: u64 = 2 * FULL_BUFFER;
+
+/// Lets an endpoint take parts of a body slowly, while the receive buffer stays full until `total` bytes have arrived.
+async fn read_slowly(fixture: &Fixture, total: u64) {
+    fixture.arrival.bytes.set(FULL);
+    while fixture.arrival.bytes.get() < total {
+        sleep(SECOND / 4).await;
+        fixture.arrival.read.set(fixture.arrival.read.get() + FULL);
+        fixture
+            .arrival
+            .bytes
+            .set(fixture.arrival.bytes.get() + FULL);
+        fixture.deadline.on_progress();
+    }
+}
+
+/// Guards the final answer of a client that has written its whole body into the kernels, while the endpoint reads it slowly:
+/// it comes in time, with and without a declared length.
+#[tokio::test(start_paused = true)]
+async fn bytes_from_the_clients_kernel_do_not_move_the_deadline() {
+    for request_end in [Some(40 * FULL), None] {
+        let fixture = Fixture::new(request_end);
+        let waited = fixture.wait_during(async {
+            sleep(SECOND).await;
+            read_slowly(&fixture, 30 * FULL).await;
+        });
+        assert_about(waited.await, SECOND + TIME_LEFT);
+    }
+}
+
+/// Guards an endpoint that reads the last bytes of such a body shortly before the deadline.
+#[tokio::test(start_paused = true)]
+async fn late_arrival_from_the_clients_kernel_does_not_move_the_deadline() {
+    let fixture = Fixture::new(Some(6 * FULL));
+    let waited = fixture.wait_during(async {
+        sleep(SECOND).await;
+        read_slowly(&fixture, 6 * FULL).await;
+        fixture.deadline.on_body_complete();
+    });
+    assert_about(waited.await, SECOND + TIME_LEFT);
+}
+
+/// Guards long bodies: a client cannot have written more than its kernel holds, and has the rest of its time after that.
+#[tokio::test(start_paused = true)]
+async fn body_beyond_the_clients_kernel_may_take_longer() {
+    let fixture = Fixture::new(Some(10 * CLIENT_BUFFER));
+    let waited = fixture.wait_during(async {
+        sleep(SECOND).await;
+        read_slowly(&fixture, 20 * FULL).await;
+    });
+    assert!(waited.await > SECOND + 2 * TIME_LEFT);
+}
+
+/// Guards slow clients: while the receive buffer has room, the bytes that arrive were just written.
+#[tokio::test(start_paused = true)]
+async fn slow_client_counts_from_its_last_bytes() {
+    for request_end in [Some(BODY_LENGTH), None] {
+        let fixture = Fixture::new(request_end);
+        let waited = fixture.wait_during(async {
+            for _ in 0..10 {
+                sleep(SECOND / 2).await;
+                fixture
+                    .arrival
+                    .bytes
+                    .set(fixture.arrival.bytes.get() + BODY_LENGTH / 10);
+            }
+        });
+        assert_about(waited.await, 5 * SECOND + TIME_LEFT);
+    }
+}
+
+/// Guards against an endpoint that is ready for more before the next bytes are read from the kernel: the client has sent
+/// them, and is not awaited.
+#[tokio::test(start_paused = true)]
+async fn client_is_not_awaited_while_its_bytes_wait_in_the_kernel() {
+    let fixture = Fixture::new(None);
+    let waited = fixture.wait_during(async {
+        fixture.arrival.bytes.set(FULL);
+        fixture.deadline.on_nothing_to_read();
+    });
+    assert_about(waited.await, TIME_LEFT);
+}
--- a/src/sidecar/caller/arrival.rs
+++ b/src/sidecar/caller/arrival.rs
@@ -21,8 +21,12 @@
 }
 
 impl ConnectionArrival for CallerArrival {
-    fn arrived_bytes(&self) -> u64 {
-        self.connection.read_position().bytes_read() + sockets::unread_bytes(&self.stream)
+    fn read_bytes(&self) -> u64 {
+        self.connection.read_position().bytes_read()
+    }
+
+    fn unread_bytes(&self) -> u64 {
+        sockets::unread_bytes(&self.stream)
     }
 
     fn request_end(&self) -> Option<u64> {
--- a/src/sidecar/endpoint/request_body.rs
+++ b/src/sidecar/endpoint/request_body.rs
@@ -75,7 +75,7 @@
         };
         let Poll::Ready(received) = poll_remaining(remaining, &mut self.deadline_timer, context)
         else {
-            self.upload.deadline().on_client_awaited();
+            self.upload.deadline().on_nothing_to_read();
             return Poll::Pending;
         };
         let forwarded = received.and_then(|data| match data {
