Hand the names of the serving endpoints over to the new process of an upgrade

Cause: the new process has only the cached list of its configuration. The old one handed over the socket and the disabled endpoints, not what discovery had told it.

Change: the old process sends the names and starts of the endpoints that serve in its list, at the hand-over and with each later list. The new process removes its own endpoints that are not among them if that list is not older and of the same discovery. Names come in parts; a lost part makes nobody count as gone. The ids of sent requests are now sent latest first, as the queue may not hold all.

--- a/src/discovery/membership.rs
+++ b/src/discovery/membership.rs
@@ -84,11 +84,7 @@
 
     /// Returns the endpoints that are listed as serving.
     pub fn serving(&self) -> impl Iterator<Item = &EndpointId> {
-        let serving = self
-            .members
-            .iter()
-            .filter(|(_, member)| member.readiness == Readiness::Serving);
-        serving.map(|(endpoint, _)| endpoint)
+        self.serving_processes().map(|(endpoint, _)| endpoint)
     }
 
     /// Checks a list's version against the last one and records it.
@@ -184,6 +180,34 @@
         }
     }
 
+    /// Returns the endpoints that are listed as serving, with the start of their processes.
+    pub fn serving_processes(&self) -> impl Iterator<Item = (&EndpointId, Option<Timestamp>)> {
+        let serving = self
+            .members
+            .iter()
+            .filter(|(_, member)| member.readiness == Readiness::Serving);
+        serving.map(|(endpoint, member)| (endpoint, member.started_at))
+    }
+
+    /// Removes the serving endpoints whose listed processes do not serve according to `is_serving`. Returns the effect.
+    pub fn retain_serving(
+        &mut self,
+        is_serving: impl Fn(&EndpointId, Option<Timestamp>) -> bool,
+    ) -> ListUpdate {
+        let has_ended = |endpoint: &EndpointId, member: &Member| {
+            member.readiness == Readiness::Serving && !is_serving(endpoint, member.started_at)
+        };
+        let removed: Vec<EndpointId> = self
+            .members
+            .extract_if(|endpoint, member| has_ended(endpoint, member))
+            .map(|(endpoint, _)| endpoint)
+            .collect();
+        ListUpdate {
+            entries: removed.iter().cloned().map(removal_entry).collect(),
+            close_idle_connections_to: removed,
+        }
+    }
+
     /// Removes endpoints whose address is used by a later serving process under another name.
     ///
     /// The change that removes the former endpoint may be late or lost. Until it arrives, requests for the former
--- a/src/policy/event.rs
+++ b/src/policy/event.rs
@@ -149,6 +149,11 @@
         /// The entries; balancers of one host may share them.
         entries: Arc<[EndpointEntry]>,
     },
+    /// Another process of the same sidecar has a newer list, which does not name these endpoints as serving any more.
+    EndpointsRemoved {
+        /// The entries that remove them.
+        entries: Vec<EndpointEntry>,
+    },
     /// A call of discovery failed, or the connection of the watch was lost.
     DiscoveryFailed,
     /// The watch was given up, because nothing was received on it although its connection stayed open.
--- a/src/policy/event_handler.rs
+++ b/src/policy/event_handler.rs
@@ -22,6 +22,7 @@
             Event::EndpointList { kind, entries, .. } => {
                 self.update_endpoints(now, kind, &entries, actions);
             }
+            Event::EndpointsRemoved { entries } => self.apply_entries(now, &entries, actions),
             Event::DiscoveryFailed => self.discovery_failed(now),
             Event::WatchSilent => self.watch_silent(now),
             Event::DiscoveryUnreachable => self.discovery_schedule.missed_by_silence = false,
--- a/src/policy/membership.rs
+++ b/src/policy/membership.rs
@@ -35,6 +35,16 @@
                 endpoint.mark_unlisted();
             }
         }
+        self.apply_entries(now, entries, actions);
+    }
+
+    /// Applies entries of a list.
+    pub(super) fn apply_entries(
+        &mut self,
+        now: Timestamp,
+        entries: &[EndpointEntry],
+        actions: &mut Vec<Action>,
+    ) {
         for entry in entries {
             self.update_endpoint(entry, actions);
         }
--- a/src/sidecar/hot_restart/message.rs
+++ b/src/sidecar/hot_restart/message.rs
@@ -1,6 +1,7 @@
 //! The messages that the processes of one sidecar exchange.
 
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// A message to another process of this sidecar, serialized as one line of JSON.
 ///
@@ -20,6 +21,9 @@
     /// them again.
     #[serde(rename = "sent")]
     SentRequests(Vec<String>),
+    /// Reports a part of the endpoints that the sender's list names as serving.
+    #[serde(rename = "listed")]
+    ServingEndpoints(ServingEndpoints),
     /// Reports that operators have disabled or enabled an endpoint.
     #[serde(rename = "disabled")]
     AdminState {
@@ -29,3 +33,16 @@
         disabled: bool,
     },
 }
+
+/// A part of the endpoints that a process's list names as serving. Parts may be lost; the list is known once all have come.
+#[derive(Clone, Debug, Deserialize, PartialEq, Eq, Serialize)]
+pub struct ServingEndpoints {
+    /// The discovery service that the list comes from. Versions of different services are not comparable.
+    pub discovery: SocketAddr,
+    /// The version of the list.
+    pub version: u64,
+    /// The endpoints' names, each with the time of its last start in Unix time, in milliseconds; 0 if it started long ago.
+    pub serving: Vec<(String, u64)>,
+    /// The number of serving endpoints in all parts.
+    pub total: usize,
+}
--- a/src/sidecar/hot_restart/mod.rs
+++ b/src/sidecar/hot_restart/mod.rs
@@ -8,6 +8,6 @@
 mod other_processes;
 mod shared_directory;
 
-pub use message::ProcessMessage;
+pub use message::{ProcessMessage, ServingEndpoints};
 pub use other_processes::{OtherProcessId, OtherProcesses, ProcessRole};
 pub use shared_directory::SharedDirectory;
--- a/src/sidecar/listener_handover/old_process.rs
+++ b/src/sidecar/listener_handover/old_process.rs
@@ -33,6 +33,7 @@
         let stream = hand_over_to_next(socket, &listener).await;
         let (process, messages) = node.add_process(ProcessRole::New);
         node.send_disabled_endpoints();
+        node.send_serving_endpoints();
         node.send_sent_requests();
         exchange_messages(&node, process, stream, messages).await;
         node.other_process_ended(process);
--- a/src/sidecar/node/discovery.rs
+++ b/src/sidecar/node/discovery.rs
@@ -19,6 +19,9 @@
         for endpoint in &update.close_idle_connections_to {
             node.connections.close_idle(endpoint);
         }
+        if node.has_new_process() {
+            node.send_serving_endpoints();
+        }
         drop(node);
         self.handle(Event::EndpointList {
             version: list.version,
--- a/src/sidecar/node/endpoints.rs
+++ b/src/sidecar/node/endpoints.rs
@@ -114,6 +114,21 @@
         update
     }
 
+    /// Returns the endpoints that the list names as serving, with the start of their processes.
+    pub fn serving_processes(&self) -> impl Iterator<Item = (&EndpointId, Option<Timestamp>)> {
+        self.subscription.membership().serving_processes()
+    }
+
+    /// Removes the serving endpoints whose listed processes do not serve according to `is_serving`. Returns the effect.
+    pub fn retain_serving(
+        &mut self,
+        is_serving: impl Fn(&EndpointId, Option<Timestamp>) -> bool,
+    ) -> ListUpdate {
+        self.subscription
+            .membership_mut()
+            .retain_serving(is_serving)
+    }
+
     /// Begins the wait for the first list.
     pub fn await_first_list(&mut self, now: Timestamp) {
         self.first_list_deadline = Some(now + FIRST_LIST_TIMEOUT);
--- a/src/sidecar/node/mod.rs
+++ b/src/sidecar/node/mod.rs
@@ -26,6 +26,7 @@
 mod endpoint_host;
 mod endpoints;
 mod hot_restart;
+mod list_handover;
 mod list_status;
 mod open_request;
 mod open_requests;
--- a/src/sidecar/node/process_messages.rs
+++ b/src/sidecar/node/process_messages.rs
@@ -124,6 +124,7 @@
                     node.sent_requests.insert(now, &id.as_str().into());
                 }
             }
+            ProcessMessage::ServingEndpoints(message) => self.receive_serving_endpoints(message),
             ProcessMessage::Serving => {
                 self.borrow().connections.suspend_accepting();
                 log!("hot restart: the new process accepts callers");
--- a/src/sidecar/node/sent_requests.rs
+++ b/src/sidecar/node/sent_requests.rs
@@ -41,12 +41,13 @@
         self.sent_at.contains_key(request)
     }
 
-    /// Returns the remembered requests, oldest first.
+    /// Returns the remembered requests, latest first.
     pub fn iter(&self) -> impl Iterator<Item = &RequestId> {
         let is_last =
             |(at, request): &&(Timestamp, RequestId)| self.sent_at.get(request) == Some(at);
         self.order
             .iter()
+            .rev()
             .filter(is_last)
             .map(|(_, request)| request)
     }
--- a/src/sidecar/node/state.rs
+++ b/src/sidecar/node/state.rs
@@ -4,6 +4,7 @@
 use super::connections::{AdmittedCaller, Connections};
 use super::endpoints::Endpoints;
 use super::hot_restart::HotRestart;
+use super::list_handover::ReceivedList;
 use super::open_requests::OpenRequests;
 use super::sent_requests::SentRequests;
 use crate::clock::Clock;
@@ -38,6 +39,7 @@
     pub(super) connections: Connections,
     pub(super) hot_restart: HotRestart,
     pub(super) sent_requests: SentRequests,
+    pub(super) list_of_other_process: ReceivedList,
     request_memory: MemoryBudget,
     response_memory: MemoryBudget,
     /// The counters since the last counters line of the log.
@@ -152,6 +154,7 @@
             connections: Connections::new(&config.settings.limits, descriptors),
             hot_restart: HotRestart::new(directory),
             sent_requests: SentRequests::default(),
+            list_of_other_process: ReceivedList::default(),
             request_memory: MemoryBudget::fraction_of(config.max_memory_mb, REQUEST_MEMORY_DIVISOR),
             response_memory: MemoryBudget::fraction_of(
                 config.max_memory_mb,
--- a/tests/sidecar/hot_restart.rs
+++ b/tests/sidecar/hot_restart.rs
@@ -371,3 +371,39 @@
     assert_eq!(client_of_old.exchange(&requests[1]).status(), 409);
     assert_eq!(endpoint.take_request_count(), 2);
 }
+
+/// Guards endpoints that begin to drain before an upgrade while discovery does not answer the new process (`review/7`). The
+/// new process starts with an old cached list, and is told by the old process, also of a later change.
+#[test]
+fn new_process_without_discovery_knows_what_drains() {
+    const REQUESTS: usize = 40;
+    let endpoints = [0, 1, 2].map(|_| Endpoint::start(|_| respond_ok("x")));
+    let deployment = Deployment::with_endpoints(&endpoints.each_ref());
+    let old_process = deployment.start(None);
+    let mut watch = deployment.discovery.next_call();
+    let draining = |number: usize| {
+        let name = format!("e{number}");
+        list_entry(&name, endpoints[number].address, "DRAINING")
+    };
+    watch.write_line(&endpoint_list(42, false, &[draining(0)]));
+    wait_for_unavailable(&old_process, 1);
+
+    let new_process = deployment.start(Some(old_process.address));
+    old_process.wait_for_log("the new process accepts callers");
+    let serve = || {
+        for endpoint in &endpoints {
+            endpoint.take_request_count();
+        }
+        for _ in 0..REQUESTS {
+            let mut client = new_process.client();
+            assert_eq!(client.exchange(&get_request("5")).status(), 200);
+        }
+        endpoints.each_ref().map(Endpoint::take_request_count)
+    };
+    let [first, ..] = serve();
+    assert_eq!(first, 0, "it drained before the upgrade");
+
+    watch.write_line(&endpoint_list(43, false, &[draining(1)]));
+    new_process.wait_for_log("in version 43 of the other process's list");
+    assert_eq!(serve(), [0, 0, REQUESTS]);
+}
--- a/tests/sidecar/hot_restart_formats.rs
+++ b/tests/sidecar/hot_restart_formats.rs
@@ -31,12 +31,25 @@
     stopping: &'static str,
     disabled: &'static str,
     enabled: &'static str,
+    /// `DISCOVERY` stands for the address of discovery.
+    listed: &'static str,
+    /// `ID` stands for the id of a request.
+    sent: &'static str,
 }
 
 fn golden_messages() -> MessageLines {
     let lines: Vec<&str> = MESSAGES.split_inclusive('\n').collect();
-    let [connection_count, serving, stopping, disabled, enabled] = lines[..] else {
-        panic!("five messages in {MESSAGES:?}");
+    let [
+        connection_count,
+        serving,
+        stopping,
+        disabled,
+        enabled,
+        listed,
+        sent,
+    ] = lines[..]
+    else {
+        panic!("seven messages in {MESSAGES:?}");
     };
     MessageLines {
         connection_count,
@@ -44,6 +57,8 @@
         stopping,
         disabled,
         enabled,
+        listed,
+        sent,
     }
 }
 
@@ -172,6 +187,14 @@
 
     let mut new_process = OtherProcess::connect_as_new(&directory.socket());
 
+    let golden = golden_messages();
+    let discovery = discovery.address.to_string();
+    new_process.expect_line(&golden.listed.replace("DISCOVERY", &discovery));
+    let request = post_request("unsafe", "5", "x");
+    let (_, id) = request.split_once("X-Request-Id: ").expect("an id");
+    let (id, _) = id.split_once("\r\n").expect("the end of the id");
+    assert_eq!(sidecar.client().exchange(&request).status(), 200);
+    new_process.expect_line(&golden.sent.replace("ID", id));
     new_process.expect_messages_of(&sidecar);
 }
 
