Force the refusal in the test of suspended endpoints by concurrent requests

It sent one request at a time; best_of_two_choices compares all candidates while none has an attempt in flight, by (queue + 1) x slowdown. No connection limit or other state of the pool is involved. A client with concurrent requests does reach the endpoint.

Change: the other endpoints hold 100 concurrent requests back, so that the ended one, which has none, is the less loaded as soon as it is drawn; the wait is for its suspension in the log. That a connection was refused is still asserted, from the counters. No time bound changed.

--- a/tests/sidecar/crowded_discovery.rs
+++ b/tests/sidecar/crowded_discovery.rs
@@ -3,6 +3,7 @@
 
 use crate::stubs::*;
 use serde_json::{Value, json};
+use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::Duration;
 
@@ -16,10 +17,32 @@
 /// time to other tests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(5);
 
+/// The number of concurrent requests of which at least one is sent to each endpoint: two random ones are compared for
+/// each request, and one without requests is always the less loaded.
+const CONCURRENT_REQUESTS: usize = 100;
+
+/// A switch that is off at first, and for which threads can wait.
+#[derive(Clone, Default)]
+struct Switch(Arc<(Mutex<bool>, Condvar)>);
+
+impl Switch {
+    fn set(&self, is_on: bool) {
+        *self.0.0.lock().expect("the lock is not poisoned") = is_on;
+        self.0.1.notify_all();
+    }
+
+    fn wait_until_off(&self) {
+        let state = self.0.0.lock().expect("the lock is not poisoned");
+        let off = self.0.1.wait_while(state, |is_on| *is_on);
+        drop(off.expect("the lock is not poisoned"));
+    }
+}
+
 /// A sidecar with its discovery and several endpoints, one of which can be restarted.
 struct Fixture {
     restartable: RestartableEndpoint,
     others: Endpoint,
+    others_hold: Switch,
     discovery: ManualDiscovery,
     sidecar: Sidecar,
 }
@@ -27,7 +50,12 @@
 impl Fixture {
     fn start(mode: &str, after_response: AfterResponse) -> Self {
         let restartable = RestartableEndpoint::start(after_response);
-        let others = Endpoint::start(|_| respond_ok(""));
+        let others_hold = Switch::default();
+        let is_held = others_hold.clone();
+        let others = Endpoint::start(move |_| {
+            is_held.wait_until_off();
+            respond_ok("")
+        });
         let discovery = ManualDiscovery::start();
         let mut cached_entries = vec![list_entry("e0", restartable.address, "SERVING")];
         for number in 1..=OTHER_ENDPOINTS {
@@ -39,6 +67,7 @@
         Fixture {
             restartable,
             others,
+            others_hold,
             discovery,
             sidecar,
         }
@@ -53,6 +82,24 @@
         });
     }
 
+    /// Sends concurrent requests while the other endpoints hold their responses back, until a connection to the ended
+    /// endpoint is refused. Requests one at a time would not do: of endpoints without requests the fastest one is chosen.
+    fn let_connection_be_refused(&self) {
+        self.others_hold.set(true);
+        let mut clients: Vec<Client> = (0..CONCURRENT_REQUESTS)
+            .map(|_| {
+                let mut client = self.sidecar.client();
+                client.write(&get_request("10"));
+                client
+            })
+            .collect();
+        self.sidecar.wait_for_log("endpoints suspended: 1 (e0)");
+        self.others_hold.set(false);
+        for client in &mut clients {
+            assert_eq!(client.read().expect("an answer").status(), 200);
+        }
+    }
+
     /// Sends requests until discovery has rejected [`REJECTED_CALLS`] calls.
     fn send_while_calls_are_rejected(&self) {
         let mut client = self.sidecar.client();
@@ -113,17 +160,14 @@
         let mut fixture = Fixture::start(mode, AfterResponse::Close);
         fixture.use_restartable_endpoint();
         fixture.restartable.end();
-        let mut client = fixture.sidecar.client();
-        wait_until("a connection is refused", || {
-            assert_eq!(client.exchange(&get_request("5")).status(), 200);
-            thread::sleep(REQUEST_INTERVAL);
-            fixture.sidecar.logged_count("attempts_connect") > 0
-        });
+        fixture.let_connection_be_refused();
         fixture.restartable.start_again();
 
         fixture.send_while_calls_are_rejected();
 
         assert_eq!(fixture.restartable.request_count(), 0, "{mode}");
+        let refused = fixture.sidecar.logged_count("attempts_connect");
+        assert!(refused > 0, "no connection was refused");
         fixture.expect_requests_once_listed();
     });
 }
