Keep a finished upload from undoing a connection's request to close

Change: the unread body is a fact of its own beside the persistence, and the request's timeout no longer carries a persistence.

--- a/src/sidecar/caller/connection_state.rs
+++ b/src/sidecar/caller/connection_state.rs
@@ -8,8 +8,10 @@
 //! - `read_position`: the reader's position in the connection's bytes, and the end of the current request.
 //! - `flushes`: a response that breaks off waits for the next flush.
 //! - `has_peer_closed`: the client has sent FIN or a reset. hyper may still be answering.
-//! - `persistence`: states whether the connection closes after the next response. Heads, bodies, uploads, shutdowns and
-//!   drains set it. A finished upload restores its earlier value.
+//! - `persistence`: states whether the connection closes after the next response. Heads, bodies, shutdowns and drains set
+//!   it.
+//! - `has_unread_upload`: the body of an upload was not read to its end yet, so that the start of the next request is not
+//!   known. A response closes the connection then, whatever `persistence` is.
 //! - `head_error`: the reason why a head was rejected. It outlasts the phase because nothing after a rejected head is
 //!   read as a request. A head that times out after it was forwarded to hyper is answered with this error, too.
 //! - `is_closing_idle`: the connection closes unless its next request has already arrived. hyper closes it only between
@@ -64,6 +66,7 @@
     reader_waker: RefCell<Option<Waker>>,
     head_error: Cell<Option<HeadError>>,
     persistence: Cell<Persistence>,
+    has_unread_upload: Cell<bool>,
     has_peer_closed: Cell<bool>,
     write_blocked_since: Cell<Option<Instant>>,
     flushes: FlushCounter,
@@ -84,6 +87,7 @@
             reader_waker: RefCell::new(None),
             head_error: Cell::new(None),
             persistence: Cell::new(Persistence::KeepAlive),
+            has_unread_upload: Cell::new(false),
             has_peer_closed: Cell::new(false),
             write_blocked_since: Cell::new(None),
             flushes: FlushCounter::default(),
@@ -241,7 +245,16 @@
 
     /// Returns whether the connection stays open after the response.
     pub fn persistence(&self) -> Persistence {
-        self.persistence.get()
+        if self.has_unread_upload.get() {
+            Persistence::Close
+        } else {
+            self.persistence.get()
+        }
+    }
+
+    /// Sets whether the body of an upload was not read to its end yet.
+    pub fn set_unread_upload(&self, is_unread: bool) {
+        self.has_unread_upload.set(is_unread);
     }
 
     /// Sets whether the connection stays open after the response.
--- a/src/sidecar/caller/connection_state_tests.rs
+++ b/src/sidecar/caller/connection_state_tests.rs
@@ -241,3 +241,19 @@
     state.on_write(&Poll::Pending);
     assert_eq!(state.deadline(), Some(Instant::now() + WRITE_TIMEOUT));
 }
+
+/// Guards a shutdown, a drain or an eviction that asks the connection to close while an upload is read: the end of the
+/// upload does not keep the connection open.
+#[tokio::test(start_paused = true)]
+async fn finished_upload_leaves_a_closing_connection_closing() {
+    let state = ConnectionState::new();
+    state.set_unread_upload(true);
+    assert_eq!(state.persistence(), Persistence::Close);
+    state.set_unread_upload(false);
+    assert_eq!(state.persistence(), Persistence::KeepAlive);
+
+    state.set_unread_upload(true);
+    state.set_persistence(Persistence::Close);
+    state.set_unread_upload(false);
+    assert_eq!(state.persistence(), Persistence::Close);
+}
--- a/src/sidecar/server/forward.rs
+++ b/src/sidecar/server/forward.rs
@@ -62,7 +62,6 @@
         caller.state.set_persistence(Persistence::Close);
         return Ok(caller.reject_early());
     };
-    let persistence = caller.state.persistence();
     let received = receive_request_body(body, started_at, || caller.upload_deadline()).await?;
     if received.upload.is_none() {
         tracker.mark_received();
@@ -71,7 +70,7 @@
         std::future::pending::<()>().await; // the connection is about to be dropped, as `client_disconnected` ends
     }
     parsed.request.deadline = node.borrow().request_deadline(parsed.time_left);
-    let timeout = parsed.response_timeout(node, persistence);
+    let timeout = parsed.response_timeout(node);
     let upload = received.upload.clone();
     let forwarded = parsed.forwarded(head, received, memory);
     let mut pending = match PendingRequest::begin(node, parsed.request, forwarded) {
--- a/src/sidecar/server/parsed_request.rs
+++ b/src/sidecar/server/parsed_request.rs
@@ -5,7 +5,6 @@
 use super::request_error::RequestError;
 use crate::policy::{Class, Idempotency, Request as PolicyRequest};
 use crate::sidecar::body::ReceivedRequestBody;
-use crate::sidecar::caller::Persistence;
 use crate::sidecar::endpoint::{ForwardedRequest, end_to_end_headers};
 use crate::sidecar::memory::MemoryReservation;
 use crate::sidecar::node::{NodeHandle, ResolvedSettings};
@@ -68,15 +67,14 @@
         &self.settings.values.classes[self.class_position]
     }
 
-    /// Returns the time to wait for the response. `persistence` is that of the connection once an upload is complete.
-    pub fn response_timeout(&self, node: &NodeHandle, persistence: Persistence) -> ResponseTimeout {
+    /// Returns the time to wait for the response.
+    pub fn response_timeout(&self, node: &NodeHandle) -> ResponseTimeout {
         let slack = self.settings.values.rules.answer_slack;
         let answer_deadline = node.borrow().clock().instant(self.request.deadline) + slack;
         ResponseTimeout {
             answer_deadline,
             time_left: self.time_left,
             slack,
-            persistence,
         }
     }
 
--- a/src/sidecar/server/pending_request.rs
+++ b/src/sidecar/server/pending_request.rs
@@ -5,7 +5,6 @@
 use super::request_error::RequestError;
 use crate::policy::{Request as PolicyRequest, RequestId};
 use crate::sidecar::body::Upload;
-use crate::sidecar::caller::Persistence;
 use crate::sidecar::endpoint::ForwardedRequest;
 use crate::sidecar::metrics::RequestTracker;
 use crate::sidecar::node::{FinalAnswer, NodeHandle, SubmitError};
@@ -75,8 +74,6 @@
     pub time_left: Duration,
     /// The time after the deadline for which the answer is still awaited.
     pub slack: Duration,
-    /// The connection's persistence once the upload is complete.
-    pub persistence: Persistence,
 }
 
 impl ResponseTimeout {
@@ -98,7 +95,7 @@
     ) -> Result<Option<FinalAnswer>, RequestError> {
         // After an early response, the start of the next request is not known, because the body was not read to its
         // end.
-        caller.state.set_persistence(Persistence::Close);
+        caller.state.set_unread_upload(true);
         let answer = pin!(
             upload
                 .deadline()
@@ -108,7 +105,7 @@
             if let Err(error) = upload.wait_until_finished().await {
                 return error;
             }
-            caller.state.set_persistence(self.persistence);
+            caller.state.set_unread_upload(false);
             tracker.mark_received();
             std::future::pending().await
         };
