Move the received list to the hot restart, and the tests of repeated ids to a file

Change: ReceivedList is part of the hot_restart module, which the node imports; the tests of ids that come again are in repeated_ids.rs. No behaviour changes.

--- a/src/sidecar/hot_restart/mod.rs
+++ b/src/sidecar/hot_restart/mod.rs
@@ -6,8 +6,10 @@
 mod disabled_endpoints_file;
 mod message;
 mod other_processes;
+mod received_list;
 mod shared_directory;
 
 pub use message::{ProcessMessage, ServingEndpoints};
 pub use other_processes::{OtherProcessId, OtherProcesses, ProcessRole};
+pub use received_list::ReceivedList;
 pub use shared_directory::SharedDirectory;
--- a/src/sidecar/node/list_handover.rs
+++ b/src/sidecar/node/list_handover.rs
@@ -10,7 +10,6 @@
 use super::state::{Node, NodeHandle};
 use crate::policy::{Event, Timestamp};
 use crate::sidecar::hot_restart::{ProcessMessage, ServingEndpoints};
-use std::collections::HashMap;
 
 /// The maximum length of all names in one message in bytes. Each byte of a name may be escaped, and a message has 4 KiB at
 /// most.
@@ -19,25 +18,6 @@
 const ENTRY_OVERHEAD: usize = 24;
 const NANOS_PER_MILLI: u64 = 1_000_000;
 
-/// The received parts of another process's list.
-#[derive(Debug, Default)]
-pub struct ReceivedList {
-    version: u64,
-    serving: HashMap<String, u64>,
-}
-
-impl ReceivedList {
-    /// Adds a part, which begins another list if its version is another one. Returns all parts once they are complete.
-    fn add(&mut self, part: &mut ServingEndpoints) -> Option<HashMap<String, u64>> {
-        if self.version != part.version {
-            self.serving.clear();
-        }
-        self.version = part.version;
-        self.serving.extend(part.serving.drain(..));
-        (self.serving.len() == part.total).then(|| std::mem::take(&mut self.serving))
-    }
-}
-
 impl Node {
     /// Sends the names of the endpoints that the list names as serving to the other processes.
     pub(super) fn send_serving_endpoints(&self) {
@@ -114,7 +94,3 @@
 fn start_in_millis(started_at: Option<Timestamp>) -> u64 {
     started_at.map_or(0, |at| at.as_nanos() / NANOS_PER_MILLI)
 }
-
-#[cfg(test)]
-#[path = "list_handover_tests.rs"]
-mod tests;
--- a/tests/sidecar/main.rs
+++ b/tests/sidecar/main.rs
@@ -25,6 +25,7 @@
 mod operators;
 mod process;
 mod reload;
+mod repeated_ids;
 mod requests;
 mod settings_isolation;
 mod shutdown_races;
