Extend an attempt for its response's body from the present deadline of an upload

Cause: the extension of an attempt by the body's 0.3 s was computed from the deadline at the attempt's start. For a streamed request body, whose deadline moves, it came to the whole difference between objective and deadline once the upload took longer (by reading; the client's own wait ended the attempt all the same).

Change: it is computed from the present deadline, and the request's deadline lies as far behind it as at the start.

--- a/src/sidecar/endpoint/attempt.rs
+++ b/src/sidecar/endpoint/attempt.rs
@@ -186,13 +186,14 @@
             Ok(response) => response,
             Err(error) => return Some(Err(error)),
         };
-        let request_deadline = self.host.clock().instant(self.spec.request_deadline);
-        let extension = body_extension(deadline, request_deadline, Instant::now());
+        let head_deadline = timeout.current();
+        let request_deadline = head_deadline + self.time_after_attempt();
+        let extension = body_extension(head_deadline, request_deadline, Instant::now());
         let memory = self.host.response_memory();
         let reservation = memory.reserve(buffer_size(response.body()));
         let buffering = match &reservation {
             Some(_) => Buffering::UpToLimit {
-                deadline: Some(timeout.current() + extension),
+                deadline: Some(head_deadline + extension),
             },
             None => Buffering::FirstBytes,
         };
@@ -204,6 +205,11 @@
         Some(Ok(response))
     }
 
+    /// Returns how long the client still waits when the attempt times out.
+    fn time_after_attempt(&self) -> Duration {
+        self.spec.request_deadline.since(self.spec.deadline)
+    }
+
     /// Returns the result of an attempt that got a response. The connection returns to the pool once the response is
     /// complete.
     fn result_of_response(
