Log why callers are rejected early or closed, the process's memory, and answers given up

The operators' logs show rejected_early, but not which limit was reached; nothing of the memory that a killed process had; and an attempt that was given up after its answer had begun looks like one that got no answer. Change: the counters line names the reasons of early rejections and of closes, the resident memory, its part without mapped files, its peak, and what is reserved. An attempt that times out in the body of its answer, and an answer that breaks off while it is passed on, have a line with the request's id and the endpoint or the reason. Fields come after the present ones, so that those keep their places.

--- a/src/sidecar/endpoint/attempt.rs
+++ b/src/sidecar/endpoint/attempt.rs
@@ -198,13 +198,26 @@
             None => Buffering::FirstBytes,
         };
         let receive_body = connection.receive_body(response, buffering);
-        let mut response = timeout.limit(extension, receive_body).await?;
+        let Some(mut response) = timeout.limit(extension, receive_body).await else {
+            self.log_given_up_in_body();
+            return None;
+        };
         if let Some(reservation) = reservation {
             response.body = response.body.map(|body| body.with_reservation(reservation));
         }
         Some(Ok(response))
     }
 
+    /// Logs that the endpoint's response had begun and was not received in time.
+    fn log_given_up_in_body(&self) {
+        log!(
+            "request {}: attempt {} at {} timed out in the body of its response",
+            self.spec.request.0,
+            self.spec.attempt,
+            self.spec.target.endpoint.0
+        );
+    }
+
     /// Returns how long the client still waits when the attempt times out.
     fn time_after_attempt(&self) -> Duration {
         self.spec.request_deadline.since(self.spec.deadline)
@@ -232,6 +245,7 @@
                 let return_connection =
                     move |connection| host.return_connection(connection, &target);
                 let streamed = StreamedResponse::new(
+                    self.spec.request.clone(),
                     buffered,
                     remaining,
                     length,
--- a/src/sidecar/endpoint/streamed_response.rs
+++ b/src/sidecar/endpoint/streamed_response.rs
@@ -1,6 +1,7 @@
 //! Responses that are forwarded to their clients while they are received.
 
 use super::connection::EndpointConnection;
+use crate::policy::RequestId;
 use crate::sidecar::body::{BodyTransferError, MAX_BODY, poll_data};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
@@ -19,6 +20,8 @@
 /// A response body that is forwarded while it is received. The request can no longer be tried again, so a failure also
 /// aborts the response to the client.
 pub struct StreamedResponse {
+    /// The request that it answers, for the log.
+    request: RequestId,
     buffered: Bytes,
     remaining: Incoming,
     length: Option<u64>,
@@ -33,6 +36,7 @@
 impl StreamedResponse {
     /// Creates a response of which the start, `buffered`, has been received on a connection.
     pub fn new(
+        request: RequestId,
         buffered: Bytes,
         remaining: Incoming,
         length: Option<u64>,
@@ -41,6 +45,7 @@
     ) -> Self {
         let connection = Some((connection, Box::new(return_connection) as ReturnConnection));
         StreamedResponse {
+            request,
             buffered,
             remaining,
             length,
@@ -61,6 +66,15 @@
         }
     }
 
+    /// Logs why the response breaks off after its beginning was forwarded.
+    fn log_failure(&self, error: &BodyTransferError) {
+        log!(
+            "request {}: its response breaks off after {} bytes: {error}",
+            self.request.0,
+            self.forwarded
+        );
+    }
+
     /// Polls for the next data. Returns `None` at the end.
     fn poll_remaining(
         &mut self,
@@ -92,13 +106,16 @@
             self.forwarded += buffered.len() as u64;
             return Poll::Ready(Some(Ok(Frame::data(buffered))));
         }
-        let Some(data) = ready!(self.poll_remaining(context))? else {
+        let received = ready!(self.poll_remaining(context));
+        let Some(data) = received.inspect_err(|error| self.log_failure(error))? else {
             self.complete();
             return Poll::Ready(None);
         };
         self.forwarded += data.len() as u64;
         if self.forwarded > MAX_BODY {
-            return Poll::Ready(Some(Err(BodyTransferError::ResponseTooLarge)));
+            let error = BodyTransferError::ResponseTooLarge;
+            self.log_failure(&error);
+            return Poll::Ready(Some(Err(error)));
         }
         if self.length == Some(self.forwarded) {
             self.complete(); // hyper does not poll again for the end
--- a/src/sidecar/node/requests.rs
+++ b/src/sidecar/node/requests.rs
@@ -4,6 +4,7 @@
 use super::state::{Node, NodeHandle};
 use crate::clock::MAX_TIME_AHEAD;
 use crate::policy::{Event, Request, RequestId, Timestamp};
+use crate::sidecar::counters::{CallerClose, EarlyRejection};
 use crate::sidecar::endpoint::ForwardedRequest;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -95,11 +96,16 @@
     }
 
     /// Counts a request that is rejected before the balancer receives it. Returns the time for its Retry-After header.
-    pub fn reject_early(&mut self) -> Option<Duration> {
-        self.counters.request_rejected_early();
+    pub fn reject_early(&mut self, reason: EarlyRejection) -> Option<Duration> {
+        self.counters.request_rejected_early(reason);
         self.balancer.retry_after()
     }
 
+    /// Counts a caller's connection that the sidecar closes by itself.
+    pub fn caller_closed(&mut self, reason: CallerClose) {
+        self.counters.caller_closed(reason);
+    }
+
     /// Returns the deadline of a request whose client waits for `time_left` from now. During a graceful shutdown, it is
     /// no later than the shutdown's deadline.
     pub fn request_deadline(&self, time_left: Duration) -> Timestamp {
--- a/src/sidecar/report.rs
+++ b/src/sidecar/report.rs
@@ -1,5 +1,6 @@
 //! The counters line of the log.
 
+use super::memory::ProcessMemory;
 use super::node::{NodeHandle, NodeReport};
 use crate::policy::BalancerStatus;
 use std::time::Duration;
@@ -23,6 +24,7 @@
         status,
         list,
         connections,
+        reserved_bytes,
     } = node.borrow().take_report();
     if counters.is_empty() {
         return;
@@ -38,14 +40,20 @@
         unavailable,
         suspended,
     } = status;
+    let memory = ProcessMemory::read();
     log!(
         "counts {counters}; now pending={pending} queued={queued} in_flight={in_flight} callers={callers} \
          connections={endpoints} clear={clear} gapping={gapping} discarding={discarding} \
          current_states={current_states} unavailable={unavailable} suspended={suspended} list_version={version} \
-         list_unconfirmed_ms={unconfirmed}",
+         list_unconfirmed_ms={unconfirmed} memory_kb={memory} memory_anonymous_kb={anonymous} \
+         memory_peak_kb={peak} reserved_kb={reserved}",
         callers = connections.callers,
         endpoints = connections.endpoints,
         version = list.version,
         unconfirmed = list.unconfirmed_ms(),
+        memory = memory.resident,
+        anonymous = memory.anonymous,
+        peak = memory.peak,
+        reserved = reserved_bytes >> 10,
     );
 }
--- a/src/sidecar/server/caller_connection.rs
+++ b/src/sidecar/server/caller_connection.rs
@@ -3,6 +3,7 @@
 use super::reply::{Reply, rejected};
 use crate::sidecar::body::RequestDeadline;
 use crate::sidecar::caller::{Admission, CallerArrival, ConnectionState};
+use crate::sidecar::counters::EarlyRejection;
 use crate::sidecar::descriptors::DescriptorPermit;
 use crate::sidecar::node::NodeHandle;
 use crate::sidecar::sockets;
@@ -52,8 +53,8 @@
         self.admission == Admission::RejectedEarly
     }
 
-    /// Rejects a request because the limit of descriptors, memory or open requests is reached.
-    pub fn reject_early(&self) -> Reply {
-        rejected(self.node.borrow().reject_early())
+    /// Rejects a request before the balancer receives it.
+    pub fn reject_early(&self, reason: EarlyRejection) -> Reply {
+        rejected(self.node.borrow().reject_early(reason))
     }
 }
--- a/src/sidecar/server/connection.rs
+++ b/src/sidecar/server/connection.rs
@@ -3,6 +3,7 @@
 use super::caller_connection::CallerConnection;
 use super::reply::Reply;
 use crate::sidecar::caller::{ConnectionState, Persistence, RequestReader, client_disconnected};
+use crate::sidecar::counters::CallerClose;
 use crate::sidecar::sockets::{self, ObservedSocket};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -74,8 +75,8 @@
                 state.peer_closed();
                 NextStep::Terminate
             }
-            () = close.notified() => on_close_request(stream, state),
-            () = poll_fn(|context| poll_deadline(state, timer.as_mut(), context)) => on_deadline(state),
+            () = close.notified() => on_close_request(caller),
+            () = poll_fn(|context| poll_deadline(state, timer.as_mut(), context)) => on_deadline(caller),
         };
         match next {
             NextStep::Continue => {}
@@ -101,8 +102,12 @@
 }
 
 /// Decides how a connection closes after a shutdown, a drain or an eviction has requested it.
-fn on_close_request(stream: &TcpStream, state: &ConnectionState) -> NextStep {
+fn on_close_request(caller: &CallerConnection) -> NextStep {
+    let (stream, state) = (&caller.stream, &caller.state);
     let is_evicted = state.is_closing_idle();
+    if is_evicted {
+        caller.node.borrow().caller_closed(CallerClose::Evicted);
+    }
     if state.is_receiving_head() {
         if is_evicted {
             return NextStep::Terminate;
@@ -120,16 +125,19 @@
 }
 
 /// Decides what happens to a connection whose deadline has passed.
-fn on_deadline(state: &ConnectionState) -> NextStep {
-    if state.is_write_blocked() {
-        return NextStep::Terminate;
-    }
-    if state.is_receiving_head() {
+fn on_deadline(caller: &CallerConnection) -> NextStep {
+    let state = &caller.state;
+    let (reason, next) = if state.is_write_blocked() {
+        (CallerClose::WriteTimeout, NextStep::Terminate)
+    } else if state.is_receiving_head() {
         state.head_timed_out();
-        return NextStep::Continue;
-    }
-    state.mark_closing_idle();
-    NextStep::GracefulShutdown
+        (CallerClose::HeadTimeout, NextStep::Continue)
+    } else {
+        state.mark_closing_idle();
+        (CallerClose::IdleTimeout, NextStep::GracefulShutdown)
+    };
+    caller.node.borrow().caller_closed(reason);
+    next
 }
 
 /// Reads and discards until the client closes the connection, so that the client can read the response first. An
--- a/src/sidecar/server/forward.rs
+++ b/src/sidecar/server/forward.rs
@@ -7,6 +7,7 @@
 use super::request_error::RequestError;
 use crate::sidecar::body::{buffer_size, receive_request_body};
 use crate::sidecar::caller::Persistence;
+use crate::sidecar::counters::EarlyRejection;
 use crate::sidecar::memory::MemoryReservation;
 use crate::sidecar::metrics::RequestTracker;
 use crate::sidecar::node::{NodeHandle, SubmitError};
@@ -60,7 +61,7 @@
     let tracker = tracker.insert(node.borrow().begin_request(&parsed.class().name));
     let Some(memory) = reserve_memory(node, &body) else {
         caller.state.set_persistence(Persistence::Close);
-        return Ok(caller.reject_early());
+        return Ok(caller.reject_early(EarlyRejection::Memory));
     };
     let received = receive_request_body(body, started_at, || caller.upload_deadline()).await?;
     if received.upload.is_none() {
@@ -75,7 +76,9 @@
     let forwarded = parsed.forwarded(head, received, memory);
     let mut pending = match PendingRequest::begin(node, parsed.request, forwarded) {
         Ok(pending) => pending,
-        Err(SubmitError::TooManyUnanswered) => return Ok(caller.reject_early()),
+        Err(SubmitError::TooManyUnanswered) => {
+            return Ok(caller.reject_early(EarlyRejection::OpenRequests));
+        }
         Err(SubmitError::DuplicateId) => {
             return Err(id_conflict("a request with this id is open"));
         }
--- a/src/sidecar/server/listener.rs
+++ b/src/sidecar/server/listener.rs
@@ -2,6 +2,7 @@
 
 use super::caller_connection::CallerConnection;
 use super::connection;
+use crate::sidecar::counters::CallerClose;
 use crate::sidecar::node::NodeHandle;
 use std::rc::Rc;
 use std::time::Duration;
@@ -56,8 +57,11 @@
 
 /// Starts to serve a connection. If there is no descriptor for it, its requests are rejected, or it is closed unread.
 fn start_serving(node: &NodeHandle, stream: TcpStream) {
-    let Some(admitted) = node.borrow().admit_caller() else {
-        return; // closed unread: none of its requests is accepted yet, and accepted ones need the remaining descriptors
+    let admitted = node.borrow().admit_caller();
+    let Some(admitted) = admitted else {
+        // None of its requests is accepted yet, and accepted ones need the remaining descriptors.
+        node.borrow().caller_closed(CallerClose::Unread);
+        return;
     };
     let added = admitted.added;
     let connection = CallerConnection {
--- a/src/sidecar/server/service.rs
+++ b/src/sidecar/server/service.rs
@@ -5,6 +5,7 @@
 use super::reply::{Reply, ReplyBody, text_reply};
 use super::request_error::RequestError;
 use crate::sidecar::caller::{Persistence, ResponseKind};
+use crate::sidecar::counters::EarlyRejection;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::{Method, Request, StatusCode};
@@ -69,7 +70,7 @@
 
     /// Rejects a request without reading its body, and counts it in the metrics of its class.
     fn reject_early_and_count(&self, request: &Request<Incoming>) -> Reply {
-        let reply = self.reject_early();
+        let reply = self.reject_early(EarlyRejection::Descriptors);
         let name = request
             .headers()
             .get("x-class")
--- a/tests/sidecar/process.rs
+++ b/tests/sidecar/process.rs
@@ -160,6 +160,27 @@
     );
 }
 
+/// Guards the reasons in the log for early rejections and for closes, and the memory in it: what a process that was killed
+/// had is not known otherwise.
+#[test]
+fn log_tells_why_callers_are_rejected_and_closed() {
+    let endpoint = Endpoint::start(|_| respond_ok(""));
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &serving_entries(&[&endpoint]));
+    config["limits"]["memory_mb"] = json!(0);
+    let sidecar = Sidecar::start(&config);
+    let reply = sidecar.client().exchange(&post_request("unsafe", "2", "x"));
+    assert_eq!(reply.status(), 503);
+    let mut slow = sidecar.client();
+    slow.write("GET /api HTTP/1.1\r\n");
+    assert_eq!(slow.read().expect("an answer").status(), 408);
+    wait_until("both are logged", || {
+        sidecar.logged_count("early_memory") == 1
+            && sidecar.logged_count("closed_head_timeout") == 1
+            && sidecar.logged_count("memory_anonymous_kb") > 0
+    });
+}
+
 /// Guards service while the log is closed: lines that cannot be written are dropped, and the shutdown is graceful.
 #[test]
 fn sidecar_serves_with_its_log_closed() {
