Pass on a long answer whose body comes after the latency objective

Of a class that must not be repeated the client gets 504, and the request has run. Cause: the answer was held back until its first bytes, or with no declared length until its next bytes, and that wait was under the attempt's timeout, which is the objective. The head had come 0.43 s after the request, a quarter of the body 0.95 s later: the attempt ended 1.202 s after the request, between the two. Not the server's connection, a suspension or the client's deadline: the record says that the sidecar closed, at the objective, with 1.3 s left to the client. Change: the hold of an answer that declares over 64 KiB, or no length, counts from its head and ends by itself (0.5 s, and half of the time that the attempt has left at most), also when nothing has come. What it costs: an answer of undeclared length that stalls is passed on in part, where a class that may be repeated used to be tried again. It cannot be told from a long answer that comes late.

--- a/src/sidecar/body/buffered_response.rs
+++ b/src/sidecar/body/buffered_response.rs
@@ -7,13 +7,13 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
-/// The longest time for which the start of a response is held back for the rest of a body whose length is not declared.
-/// The rest may be long, and a long response has to begin soon after its first bytes have arrived.
+/// The longest time for which the start of a long response is held back after its head. A long response has to begin soon,
+/// whenever its endpoint sends the rest.
 const MAX_HOLD_TIME: Duration = Duration::from_millis(500);
-/// The longest hold as a fraction of the time from the first bytes to the end of the wait for the response. An endpoint
-/// that still sends after it has time to show that before the wait ends.
+/// The longest hold as a fraction of the time from the head to the end of the wait for the response, so that the response
+/// begins before that.
 const MAX_HOLD_FRACTION: f64 = 0.5;
 
 /// The received part of a response body.
@@ -32,15 +32,20 @@
     },
 }
 
-/// The amount of a response body that is received before the response is forwarded.
+/// How much of a response body is received before the response is forwarded, and for how long.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Buffering {
+pub struct Buffering {
+    /// The part of the body.
+    pub extent: BufferedExtent,
+    /// The end of the wait for the response. `None` if a body may take all the time that there is.
+    pub deadline: Option<Instant>,
+}
+
+/// The part of a response body that is received before the response is forwarded.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum BufferedExtent {
     /// Up to [`super::limits::MAX_BUFFERED_BODY`] bytes.
-    UpToLimit {
-        /// The end of the wait for the response. `None` if a body of undeclared length may take all the time that there
-        /// is.
-        deadline: Option<Instant>,
-    },
+    UpToLimit,
     /// Only the first bytes, because there is no memory for more.
     FirstBytes,
 }
@@ -67,21 +72,19 @@
 }
 
 impl Buffering {
-    /// Returns the time up to which a body whose first bytes arrive now is held back. `None` if that is not limited.
+    /// Returns the time up to which a response whose head has arrived now is held back. `None` if that is not limited.
     fn hold_until(self) -> Option<Instant> {
-        let Buffering::UpToLimit { deadline } = self else {
-            return None;
-        };
         let now = Instant::now();
-        let time_left = deadline?.saturating_duration_since(now);
+        let time_left = self.deadline?.saturating_duration_since(now);
         Some(now + MAX_HOLD_TIME.min(time_left.mul_f64(MAX_HOLD_FRACTION)))
     }
 }
 
-/// Receives a response body until it is complete or no more of it may be buffered.
+/// Receives a response body until it is complete, no more of it may be buffered, or it was held back for too long.
 ///
-/// A body whose length is not declared may be long. If more of it arrives after a while, its endpoint still sends, and
-/// the body is streamed from then on. If nothing arrives, its endpoint may have stalled, and the caller's wait ends.
+/// Only a body that may be too large to be buffered is streamed after a hold: one that declares such a length, or none. Its
+/// endpoint has run the request, and is not cut off however late it sends the body. A short body of declared length is
+/// awaited, so that a response that breaks off is noticed in time for another attempt.
 ///
 /// # Errors
 /// The connection failed before the response was complete.
@@ -90,24 +93,33 @@
     buffering: Buffering,
 ) -> Result<ReceivedResponse, BodyTransferError> {
     let length = body.size_hint().exact();
+    let may_be_long = length.is_none() || exceeds_buffer(length, 0);
+    let hold_until = buffering.hold_until().filter(|_| may_be_long);
     let mut buffered = BytesMut::new();
-    let mut hold_until = None;
-    while let Some(frame) = body.frame().await {
+    loop {
+        let frame = match hold_until {
+            None => body.frame().await,
+            Some(until) => match timeout_at(until, body.frame()).await {
+                Ok(frame) => frame,
+                Err(_) => break,
+            },
+        };
+        let Some(frame) = frame else {
+            return Ok(ReceivedResponse::Complete(buffered.freeze()));
+        };
         buffered.extend_from_slice(&frame?.into_data().unwrap_or_default());
-        let hold_until = *hold_until.get_or_insert_with(|| buffering.hold_until());
-        let is_held_too_long =
-            length.is_none() && hold_until.is_some_and(|until| Instant::now() >= until);
-        let is_complete = length == Some(buffered.len() as u64);
-        let may_buffer_more = buffering != Buffering::FirstBytes
-            && !exceeds_buffer(length, buffered.len())
-            && !is_held_too_long;
-        if !is_complete && !buffered.is_empty() && !may_buffer_more {
-            return Ok(ReceivedResponse::Partial {
-                buffered: buffered.freeze(),
-                remaining: body,
-                length,
-            });
+        if length == Some(buffered.len() as u64) {
+            continue; // complete, as the next frame shows
+        }
+        let is_full = buffering.extent == BufferedExtent::FirstBytes
+            || exceeds_buffer(length, buffered.len());
+        if is_full && !buffered.is_empty() {
+            break;
         }
     }
-    Ok(ReceivedResponse::Complete(buffered.freeze()))
+    Ok(ReceivedResponse::Partial {
+        buffered: buffered.freeze(),
+        remaining: body,
+        length,
+    })
 }
--- a/src/sidecar/body/mod.rs
+++ b/src/sidecar/body/mod.rs
@@ -15,9 +15,9 @@
 mod upload;
 mod upload_deadline;
 
-pub use buffered_response::{Buffering, ReceivedResponse, receive_response};
+pub use buffered_response::{BufferedExtent, Buffering, ReceivedResponse, receive_response};
 pub use error::{BodyTransferError, UploadError};
 pub use frames::poll_data;
-pub use limits::{MAX_BODY, buffer_size};
+pub use limits::{MAX_BODY, MAX_BUFFERED_BODY, buffer_size};
 pub use request_deadline::{ConnectionArrival, RequestDeadline};
 pub use upload::{ReceivedRequestBody, RemainingUpload, Upload, receive_request_body};
--- a/src/sidecar/endpoint/attempt.rs
+++ b/src/sidecar/endpoint/attempt.rs
@@ -8,9 +8,9 @@
 use super::host::EndpointHost;
 use super::request_body::RequestBody;
 use super::response::EndpointResponse;
-use super::streamed_response::StreamedResponse;
+use super::streamed_response::{ResponseStart, StreamedResponse};
 use crate::policy::{ListValidity, Outcome};
-use crate::sidecar::body::{Buffering, ReceivedResponse, Upload, buffer_size};
+use crate::sidecar::body::{BufferedExtent, Buffering, ReceivedResponse, Upload, buffer_size};
 use hyper::StatusCode;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
@@ -191,11 +191,12 @@
         let extension = body_extension(head_deadline, request_deadline, Instant::now());
         let memory = self.host.response_memory();
         let reservation = memory.reserve(buffer_size(response.body()));
-        let buffering = match &reservation {
-            Some(_) => Buffering::UpToLimit {
-                deadline: Some(head_deadline + extension),
+        let buffering = Buffering {
+            extent: match &reservation {
+                Some(_) => BufferedExtent::UpToLimit,
+                None => BufferedExtent::FirstBytes,
             },
-            None => Buffering::FirstBytes,
+            deadline: Some(head_deadline + extension),
         };
         let receive_body = connection.receive_body(response, buffering);
         let Some(mut response) = timeout.limit(extension, receive_body).await else {
@@ -244,14 +245,14 @@
                 let (host, target) = (self.host.clone(), self.spec.target.clone());
                 let return_connection =
                     move |connection| host.return_connection(connection, &target);
-                let streamed = StreamedResponse::new(
-                    self.spec.request.clone(),
+                let start = ResponseStart {
+                    request: self.spec.request.clone(),
                     buffered,
-                    remaining,
                     length,
-                    connection,
-                    return_connection,
-                );
+                    due: self.host.clock().instant(self.spec.request_deadline),
+                };
+                let streamed =
+                    StreamedResponse::new(start, remaining, connection, return_connection);
                 Some(ResponseBody::Streamed(Box::new(streamed)))
             }
             Ok(ReceivedResponse::Partial { .. }) | Err(_) => None,
--- a/src/sidecar/endpoint/health_check.rs
+++ b/src/sidecar/endpoint/health_check.rs
@@ -8,7 +8,7 @@
 use super::request_body::RequestBody;
 use super::response::EndpointResponse;
 use crate::policy::Outcome;
-use crate::sidecar::body::{Buffering, ReceivedResponse};
+use crate::sidecar::body::{BufferedExtent, Buffering, ReceivedResponse};
 use bytes::Bytes;
 use hyper::{Request, Uri};
 use std::time::Duration;
@@ -53,7 +53,10 @@
     else {
         return AttemptResult::without_response(Outcome::Reset);
     };
-    let buffering = Buffering::UpToLimit { deadline: None };
+    let buffering = Buffering {
+        extent: BufferedExtent::UpToLimit,
+        deadline: None,
+    };
     match connection.receive_body(response, buffering).await {
         EndpointResponse {
             head,
