Reserve the memory of connections, requests and heads, not of buffered bodies alone

Cause: the only memory with a budget was that of buffered bodies, 64 KiB each. What a connection and a request take besides (14 kB for an idle caller, 50 kB and more for the connection to an endpoint, the frames on their way and the maps of headers, 16 kB for an unfinished head, up to 37 kB for requests that are sent ahead, 16 kB for a rejected connection that lingers) was limited by the number of descriptors alone. 620 callers together take more than 32 MB. Drawn from it are a caller's connection, an open request with its headers until its answer is passed on, bodies, heads of over 4 KiB and idle connections to endpoints. When it is used up, idle connections close first, then requests are rejected with Retry-After. A connection on which a request may be arriving is not evicted for memory: it is answered. Requests sent ahead are buffered up to 4 KiB (16 KiB before), and a lingering close has no buffer of its own. Why it works: nothing that a client can make the process hold is left without a reservation but the rejection itself, which is bounded (3 MB).

--- a/src/sidecar/caller/arrival_tests.rs
+++ b/src/sidecar/caller/arrival_tests.rs
@@ -2,6 +2,7 @@
 
 use super::super::request_reader::RequestReader;
 use super::*;
+use crate::sidecar::memory::MemoryBudget;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::yield_now;
@@ -24,7 +25,11 @@
         let (stream, state) = (Rc::new(stream), ConnectionState::new());
         Connection {
             client,
-            reader: RequestReader::new(stream.clone(), state.clone()),
+            reader: RequestReader::new(
+                stream.clone(),
+                state.clone(),
+                MemoryBudget::new(usize::MAX),
+            ),
             arrival: CallerArrival::new(stream, state),
         }
     }
--- a/src/sidecar/caller/connection_state.rs
+++ b/src/sidecar/caller/connection_state.rs
@@ -16,6 +16,7 @@
 //!   read as a request. A head that times out after it was forwarded to hyper is answered with this error, too.
 //! - `is_closing_idle`: the connection closes unless its next request has already arrived. hyper closes it only between
 //!   requests. Until then, the connection can be in any phase.
+//! - `is_lingering`: all responses have been written, and the close waits until the client has read them.
 //! - `is_pipelined`: the first bytes of the last head arrived before the response to the request before it was complete.
 //! - `has_received_head`: selects [`Phase::Idle`] or [`Phase::AwaitingFirstHead`] after an error response.
 
@@ -71,6 +72,7 @@
     write_blocked_since: Cell<Option<Instant>>,
     flushes: FlushCounter,
     is_closing_idle: Cell<bool>,
+    is_lingering: Cell<bool>,
 }
 
 impl ConnectionState {
@@ -92,9 +94,20 @@
             write_blocked_since: Cell::new(None),
             flushes: FlushCounter::default(),
             is_closing_idle: Cell::new(false),
+            is_lingering: Cell::new(false),
         })
     }
 
+    /// Marks the connection as closing, with nothing left to write.
+    pub fn mark_lingering(&self) {
+        self.is_lingering.set(true);
+    }
+
+    /// Returns whether the connection is closing, with nothing left to write.
+    pub fn is_lingering(&self) -> bool {
+        self.is_lingering.get()
+    }
+
     /// Returns the current phase.
     pub fn phase(&self) -> Phase {
         self.phase.get()
--- a/src/sidecar/caller/head.rs
+++ b/src/sidecar/caller/head.rs
@@ -23,6 +23,8 @@
     TooLong,
     /// The head was not complete in time.
     TooSlow,
+    /// There is no memory for a head of this length.
+    NoMemory,
 }
 
 /// The result of validating the bytes of a head.
--- a/src/sidecar/caller/mod.rs
+++ b/src/sidecar/caller/mod.rs
@@ -20,4 +20,4 @@
 pub use head::HeadError;
 pub use persistence::Persistence;
 pub use request_reader::{RequestReader, client_disconnected};
-pub use table::{AddedCaller, Admission, CallerTable};
+pub use table::{AddedCaller, Admission, CallerTable, EvictionGain};
--- a/src/sidecar/caller/request_reader.rs
+++ b/src/sidecar/caller/request_reader.rs
@@ -11,6 +11,7 @@
 use super::connection_state::ConnectionState;
 use super::head::{HeadError, HeadValidation, MAX_HEAD_LENGTH, validate_head};
 use super::persistence::Persistence;
+use crate::sidecar::memory::{MemoryBudget, MemoryReservation};
 use crate::sidecar::sockets;
 use std::future::poll_fn;
 use std::io;
@@ -57,6 +58,11 @@
     mode: ReadMode,
     /// The bytes that have been received and not forwarded.
     unread: Vec<u8>,
+    /// The budget of the process's memory.
+    memory: MemoryBudget,
+    /// The reservation for a head that is longer than [`READ_CHUNK`], until it has been forwarded. A shorter one is part of
+    /// what the connection takes.
+    head_memory: Option<MemoryReservation>,
 }
 
 /// Waits until the client disconnects, by FIN or reset, while one of its requests has no response.
@@ -82,12 +88,18 @@
 impl RequestReader {
     /// Creates the reader of a connection that was just accepted.
     #[must_use]
-    pub fn new(stream: Rc<TcpStream>, connection: Rc<ConnectionState>) -> Self {
+    pub fn new(
+        stream: Rc<TcpStream>,
+        connection: Rc<ConnectionState>,
+        memory: MemoryBudget,
+    ) -> Self {
         RequestReader {
             stream,
             connection,
             mode: ReadMode::Head { searched: 0 },
             unread: Vec::new(),
+            memory,
+            head_memory: None,
         }
     }
 
@@ -147,9 +159,21 @@
             self.mode = next;
             return Poll::Ready(Ok(ReceivePoll::Progress));
         }
+        if self.unread.len() >= READ_CHUNK && !self.reserve_long_head() {
+            self.mode = self.reject_head(HeadError::NoMemory);
+            return Poll::Ready(Ok(ReceivePoll::Progress));
+        }
         self.poll_receive(context)
     }
 
+    /// Reserves memory for a long head. Returns false if there is none.
+    fn reserve_long_head(&mut self) -> bool {
+        if self.head_memory.is_none() {
+            self.head_memory = self.memory.reserve(MAX_HEAD_LENGTH);
+        }
+        self.head_memory.is_some()
+    }
+
     /// Appends received bytes to the unread ones.
     fn poll_receive(&mut self, context: &mut Context<'_>) -> Poll<io::Result<ReceivePoll>> {
         let read = sockets::poll_append(&self.stream, context, &mut self.unread, READ_CHUNK);
@@ -166,10 +190,10 @@
         }))
     }
 
-    /// Buffers the bytes that arrive while the request is answered, up to the maximum length of a head.
+    /// Buffers the bytes that arrive while the request is answered, up to the length of an ordinary head.
     fn poll_while_answering(&mut self, context: &mut Context<'_>) -> Poll<io::Result<ReceivePoll>> {
         self.connection.wake_reader_when_answered(context.waker());
-        if self.unread.len() >= MAX_HEAD_LENGTH {
+        if self.unread.len() >= READ_CHUNK {
             return Poll::Pending; // [`client_disconnected`] notices a disconnect
         }
         self.poll_receive(context)
@@ -188,6 +212,10 @@
             let count = max.min(self.unread.len());
             buffer.put_slice(&self.unread[..count]);
             self.unread.drain(..count);
+            if self.unread.is_empty() {
+                self.unread = Vec::new(); // frees the buffer of a long head
+                self.head_memory = None;
+            }
             return Poll::Ready(Ok(count));
         }
         let mut limited = ReadBuf::new(buffer.initialize_unfilled_to(max));
--- a/src/sidecar/caller/table.rs
+++ b/src/sidecar/caller/table.rs
@@ -53,6 +53,15 @@
     RejectedEarly,
 }
 
+/// What the eviction of a connection is to free.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EvictionGain {
+    /// A descriptor.
+    Descriptor,
+    /// Memory, of which a connection in a lingering close has none left.
+    Memory,
+}
+
 /// A connection that was just added to the table.
 #[derive(Debug)]
 pub struct AddedCaller {
@@ -142,13 +151,18 @@
     }
 
     /// Requests the closing of the connection that is first in the order of eviction. Returns false if none can be
-    /// evicted.
-    pub fn evict_one(&mut self) -> bool {
+    /// evicted. For its memory, only a connection is evicted that nobody is using: a caller that has none can still be
+    /// answered with a rejection.
+    pub fn evict_one(&mut self, gain: EvictionGain) -> bool {
         let now = Instant::now();
         let ranks = self
             .connections
             .iter()
-            .filter_map(|(number, caller)| Some((caller.eviction_rank(now)?, *number)));
+            .filter(|(_, caller)| gain == EvictionGain::Descriptor || !caller.state.is_lingering())
+            .filter_map(|(number, caller)| Some((caller.eviction_rank(now)?, *number)))
+            .filter(|((rank, _), _)| {
+                gain == EvictionGain::Descriptor || *rank <= EvictionRank::StalledHead
+            });
         let Some((_, number)) = ranks.min() else {
             return false;
         };
--- a/src/sidecar/caller/table_tests.rs
+++ b/src/sidecar/caller/table_tests.rs
@@ -26,7 +26,7 @@
 /// Evicts connections until none can be evicted. Returns their positions in `callers` in the order of eviction.
 fn eviction_order(table: &mut CallerTable, callers: &[AddedCaller]) -> Vec<usize> {
     let mut order = Vec::new();
-    while table.evict_one() {
+    while table.evict_one(EvictionGain::Descriptor) {
         let is_new = |position: &usize| {
             callers[*position].state.is_closing_idle() && !order.contains(position)
         };
@@ -79,7 +79,7 @@
     begin_request(&streaming);
     streaming.state.response_ready(ResponseKind::Streamed);
     advance(IDLE_GRACE).await;
-    assert!(!table.evict_one());
+    assert!(!table.evict_one(EvictionGain::Descriptor));
     assert!(!answering.state.is_closing_idle());
     assert!(!streaming.state.is_closing_idle());
 }
@@ -113,3 +113,28 @@
         Persistence::Close
     );
 }
+
+/// Guards the answer of a rejected request while memory is short: a connection in a lingering close has no memory to free,
+/// and an eviction would reset it before its client has read the answer.
+#[tokio::test(start_paused = true)]
+async fn lingering_connection_is_evicted_for_its_descriptor_only() {
+    let mut table = CallerTable::default();
+    let lingering = table.add(Admission::Accepted);
+    lingering.state.mark_lingering();
+    assert!(!table.evict_one(EvictionGain::Memory));
+    assert!(table.evict_one(EvictionGain::Descriptor));
+}
+
+/// Guards a new caller's request that is arriving while memory is short: it is answered, not closed unread.
+#[tokio::test(start_paused = true)]
+async fn connection_in_use_is_not_evicted_for_its_memory() {
+    let mut table = CallerTable::default();
+    let (recent, arriving) = (add(&mut table), add(&mut table));
+    complete_request(&recent);
+    arriving.state.bytes_received(10);
+    assert!(!table.evict_one(EvictionGain::Memory));
+    advance(IDLE_GRACE).await;
+    arriving.state.bytes_received(10);
+    assert!(table.evict_one(EvictionGain::Memory));
+    assert!(recent.state.is_closing_idle() && !arriving.state.is_closing_idle());
+}
--- a/src/sidecar/endpoint/forwarded_request.rs
+++ b/src/sidecar/endpoint/forwarded_request.rs
@@ -3,7 +3,7 @@
 use super::request_body::RequestBody;
 use crate::policy::{AttemptNumber, EndpointId, RequestId, Timestamp};
 use crate::sidecar::body::Upload;
-use crate::sidecar::memory::MemoryReservation;
+use crate::sidecar::memory::RequestMemory;
 use bytes::Bytes;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue};
 use hyper::http::uri::PathAndQuery;
@@ -44,8 +44,8 @@
     pub upload: Option<Rc<Upload>>,
     /// True if the request may run twice. Another attempt can then follow one that may have run.
     pub is_repeatable: bool,
-    /// The reservation of the memory that the body takes.
-    pub _memory: MemoryReservation,
+    /// The reservation of the memory that the request takes.
+    pub _memory: RequestMemory,
 }
 
 /// An endpoint's process as the endpoint list describes it: the target of an attempt or a health check.
--- a/src/sidecar/endpoint/pool.rs
+++ b/src/sidecar/endpoint/pool.rs
@@ -2,6 +2,7 @@
 
 use super::connection::EndpointConnection;
 use crate::policy::{EndpointId, Limits};
+use crate::sidecar::memory::MemoryReservation;
 use std::collections::HashMap;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -38,6 +39,7 @@
 struct IdleConnection {
     connection: EndpointConnection,
     idle_since: Instant,
+    _memory: MemoryReservation,
 }
 
 /// Tells whether a task that sweeps the pool has to be started.
@@ -93,7 +95,12 @@
     }
 
     /// Pools a connection, or closes it if it is unusable or the endpoint has its maximum of idle connections.
-    pub fn put(&mut self, endpoint: &EndpointId, connection: EndpointConnection) -> SweepTask {
+    pub fn put(
+        &mut self,
+        endpoint: &EndpointId,
+        connection: EndpointConnection,
+        memory: MemoryReservation,
+    ) -> SweepTask {
         let connections = self.idle.entry(endpoint.clone()).or_default();
         let is_usable = !connection.is_closed() && connection.progress().is_complete();
         if !is_usable || connections.len() >= self.max_idle_per_endpoint {
@@ -102,6 +109,7 @@
         connections.push(IdleConnection {
             connection,
             idle_since: Instant::now(),
+            _memory: memory,
         });
         if std::mem::replace(&mut self.is_sweep_scheduled, true) {
             SweepTask::NotNeeded
--- a/src/sidecar/memory.rs
+++ b/src/sidecar/memory.rs
@@ -1,78 +1,123 @@
-//! Memory budgets for buffered bodies of pending requests and of responses.
+//! Memory budgets.
+//!
+//! One budget covers what clients and endpoints make the process hold: connections, requests, and bodies that are buffered.
+//! Buffered bodies have budgets of their own within it.
 
 use bytes::Bytes;
-use std::fs;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
-/// The memory of this process in kB, as the kernel reports it.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct ProcessMemory {
-    /// Its resident memory now.
-    pub resident: usize,
-    /// The part of it that is not a mapped file, such as the program itself.
-    pub anonymous: usize,
-    /// The most resident memory that it has had.
-    pub peak: usize,
-}
-
 /// A budget of bytes, shared by its clones.
 #[derive(Clone, Debug)]
 pub struct MemoryBudget {
-    limit: usize,
-    reserved: Arc<AtomicUsize>,
+    own: Arc<Pool>,
+    /// The pool of the budget that this one is a part of.
+    whole: Option<Arc<Pool>>,
 }
 
-/// A reservation of bytes for one body, which ends when it is dropped.
+/// The bytes of one budget.
 ///
-/// It is counted atomically only because the owner of a [`Bytes`] has to be [`Send`].
+/// They are counted atomically only because the owner of a [`Bytes`] has to be [`Send`].
+#[derive(Debug)]
+struct Pool {
+    limit: AtomicUsize,
+    reserved: AtomicUsize,
+}
+
+/// A reservation of bytes, which ends when it is dropped.
 #[derive(Debug)]
 pub struct MemoryReservation {
     size: usize,
-    reserved: Arc<AtomicUsize>,
+    budget: MemoryBudget,
 }
 
-impl ProcessMemory {
-    /// Reads the memory of this process. What cannot be read is 0.
-    pub fn read() -> Self {
-        let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
-        let value = |name: &str| {
-            let line = status.lines().find_map(|line| line.strip_prefix(name));
-            let kilobytes = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
-            kilobytes.unwrap_or_default()
-        };
-        ProcessMemory {
-            resident: value("VmRSS:"),
-            anonymous: value("RssAnon:"),
-            peak: value("VmHWM:"),
-        }
+/// The memory that is reserved for one request, until it is answered, its answer is passed on, and its attempts have ended.
+#[derive(Clone, Debug)]
+pub struct RequestMemory {
+    _reservations: Rc<[MemoryReservation; 2]>,
+}
+
+impl Pool {
+    fn new(limit: usize) -> Arc<Self> {
+        Arc::new(Pool {
+            limit: AtomicUsize::new(limit),
+            reserved: AtomicUsize::new(0),
+        })
+    }
+
+    fn has_room_for(&self, size: usize) -> bool {
+        let reserved = self.reserved.load(Ordering::Relaxed);
+        reserved.saturating_add(size) <= self.limit.load(Ordering::Relaxed)
     }
 }
 
 impl MemoryBudget {
-    /// Creates a budget of the process's memory, `memory_mb` MiB, divided by `divisor`.
-    pub fn fraction_of(memory_mb: usize, divisor: usize) -> Self {
+    /// Creates a budget of `limit` bytes.
+    pub fn new(limit: usize) -> Self {
+        MemoryBudget {
+            own: Pool::new(limit),
+            whole: None,
+        }
+    }
+
+    /// Creates a budget of `limit` bytes that is a part of this one.
+    pub fn part(&self, limit: usize) -> Self {
         MemoryBudget {
-            limit: (memory_mb << 20) / divisor,
-            reserved: Arc::default(),
+            own: Pool::new(limit),
+            whole: Some(self.own.clone()),
         }
     }
 
+    /// Changes the limit. Reservations stay, also beyond it.
+    pub fn set_limit(&self, limit: usize) {
+        self.own.limit.store(limit, Ordering::Relaxed);
+    }
+
     /// Returns how many bytes are reserved.
     pub fn reserved(&self) -> usize {
-        self.reserved.load(Ordering::Relaxed)
+        self.own.reserved.load(Ordering::Relaxed)
     }
 
     /// Reserves `size` bytes. Returns `None` if the budget does not have them left.
     pub fn reserve(&self, size: usize) -> Option<MemoryReservation> {
-        if self.reserved.load(Ordering::Relaxed) + size > self.limit {
-            return None;
-        }
-        self.reserved.fetch_add(size, Ordering::Relaxed);
-        Some(MemoryReservation {
+        self.has_room_for(size).then(|| self.reserve_always(size))
+    }
+
+    /// Reserves `size` bytes, also beyond the budget.
+    pub fn reserve_always(&self, size: usize) -> MemoryReservation {
+        self.add(size);
+        MemoryReservation {
             size,
-            reserved: self.reserved.clone(),
-        })
+            budget: self.clone(),
+        }
+    }
+
+    /// Returns whether the budget has `size` bytes left.
+    pub fn has_room_for(&self, size: usize) -> bool {
+        self.pools().all(|pool| pool.has_room_for(size))
+    }
+
+    /// Returns how many bytes are reserved beyond the limit.
+    pub fn excess(&self) -> usize {
+        let limit = self.own.limit.load(Ordering::Relaxed);
+        self.reserved().saturating_sub(limit)
+    }
+
+    fn pools(&self) -> impl Iterator<Item = &Arc<Pool>> {
+        [&self.own].into_iter().chain(&self.whole)
+    }
+
+    fn add(&self, size: usize) {
+        for pool in self.pools() {
+            pool.reserved.fetch_add(size, Ordering::Relaxed);
+        }
+    }
+
+    fn subtract(&self, size: usize) {
+        for pool in self.pools() {
+            pool.reserved.fetch_sub(size, Ordering::Relaxed);
+        }
     }
 }
 
@@ -88,15 +133,24 @@
 
     /// Changes the size, also beyond the budget.
     fn resize(&mut self, size: usize) {
-        self.reserved.fetch_add(size, Ordering::Relaxed);
-        self.reserved.fetch_sub(self.size, Ordering::Relaxed);
+        self.budget.add(size);
+        self.budget.subtract(self.size);
         self.size = size;
     }
 }
 
+impl RequestMemory {
+    /// Joins the reservation for a request's head and exchange with that for its body.
+    pub fn new(exchange: MemoryReservation, body: MemoryReservation) -> Self {
+        RequestMemory {
+            _reservations: Rc::new([exchange, body]),
+        }
+    }
+}
+
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
-        self.reserved.fetch_sub(self.size, Ordering::Relaxed);
+        self.budget.subtract(self.size);
     }
 }
 
--- a/src/sidecar/mod.rs
+++ b/src/sidecar/mod.rs
@@ -5,7 +5,7 @@
 //!
 //! | layer | files |
 //! | --- | --- |
-//! | foundations | `log.rs`, `admin_state.rs`, `sockets.rs`, `descriptors.rs`, `memory.rs`, `metrics.rs`, `counters.rs`, `shutdown_deadline.rs` |
+//! | foundations | `log.rs`, `admin_state.rs`, `sockets.rs`, `descriptors.rs`, `memory.rs`, `memory_costs.rs`, `process_memory.rs`, `metrics.rs`, `counters.rs`, `shutdown_deadline.rs` |
 //! | bodies | `body/` |
 //! | connections | `endpoint/`: to endpoints; `caller/`: from callers; `hot_restart/`: to other processes of this sidecar |
 //! | requests and attempts | `node/`: owns their state; nothing else calls the balancer |
@@ -24,10 +24,12 @@
 mod hot_restart;
 mod listener_handover;
 mod memory;
+mod memory_costs;
 mod metrics;
 mod node;
 mod operators;
 mod process;
+mod process_memory;
 mod report;
 mod server;
 mod shutdown;
--- a/src/sidecar/node/connections.rs
+++ b/src/sidecar/node/connections.rs
@@ -1,13 +1,16 @@
 //! Callers' connections and idle connections to endpoints, with the descriptor budget that they share.
 
 use crate::policy::{EndpointId, Limits};
-use crate::sidecar::caller::{AddedCaller, Admission, CallerTable, DrainState};
+use crate::sidecar::caller::{AddedCaller, Admission, CallerTable, DrainState, EvictionGain};
 use crate::sidecar::descriptors::{DescriptorBudget, DescriptorPermit, OpenConnections, PeerKind};
 use crate::sidecar::endpoint::{
     ConnectionPool, EndpointConnection, EndpointProcess, IdleConnectionPolicy, KnownProcessGuard,
     KnownProcesses, SweepTask,
 };
+use crate::sidecar::memory::{MemoryBudget, MemoryReservation};
+use crate::sidecar::memory_costs::{CALLER_CONNECTION, IDLE_ENDPOINT_CONNECTION};
 use crate::task::Task;
+use std::cell::Cell;
 use tokio::time::Instant;
 
 /// Callers' connections, idle connections to endpoints, and the budget of descriptors for all connections.
@@ -15,6 +18,8 @@
     callers: CallerTable,
     pool: ConnectionPool,
     descriptors: DescriptorBudget,
+    /// The budget of the process's memory.
+    memory: MemoryBudget,
     known_processes: KnownProcesses,
     /// Advances a drain through its states. It is aborted when the drain ends.
     drain_task: Option<Task>,
@@ -26,17 +31,34 @@
     pub added: AddedCaller,
     /// States whether its requests are served or rejected.
     pub admission: Admission,
-    /// Its share of the descriptor budget.
-    pub permit: DescriptorPermit,
+    /// Its share of the budgets.
+    pub permit: CallerPermit,
 }
 
+/// The descriptor and the memory of a caller's connection, which count as in use until this is dropped.
+pub struct CallerPermit {
+    _descriptor: DescriptorPermit,
+    memory: Cell<Option<MemoryReservation>>,
+}
+
+impl CallerPermit {
+    /// Returns the memory of a connection whose buffers have been freed. It keeps its descriptor.
+    pub fn return_memory(&self) {
+        self.memory.take();
+    }
+}
+
+/// How much memory may be reserved beyond the budget for connections whose first request is rejected, in bytes.
+const REJECTION_OVERCOMMIT: usize = 128 * CALLER_CONNECTION;
+
 impl Connections {
     /// Creates the tables, without any connection.
-    pub fn new(limits: &Limits, descriptors: DescriptorBudget) -> Self {
+    pub fn new(limits: &Limits, descriptors: DescriptorBudget, memory: MemoryBudget) -> Self {
         Connections {
             callers: CallerTable::default(),
             pool: ConnectionPool::new(limits),
             descriptors,
+            memory,
             known_processes: KnownProcesses::default(),
             drain_task: None,
         }
@@ -52,29 +74,50 @@
         &mut self.callers
     }
 
-    /// Admits a connection that was just accepted. If the callers' limit is reached, another connection is evicted for
-    /// it. If none can be evicted, it is admitted, but its requests are rejected. Returns `None` if no descriptor is
-    /// available even for the rejection.
+    /// Admits a connection that was just accepted. If the callers' limit or that of memory is reached, another connection
+    /// is evicted for it. If none can be evicted, it is admitted, but its requests are rejected. Returns `None` if there
+    /// is no descriptor or no memory even for the rejection.
     pub fn admit_caller(&mut self) -> Option<AdmittedCaller> {
-        let admission = if self.descriptors.is_caller_limit_reached() && !self.evict_for_caller() {
+        let is_limit_reached = self.descriptors.is_caller_limit_reached() || !self.has_memory();
+        let admission = if is_limit_reached && !self.evict_for_caller() {
             Admission::RejectedEarly
         } else {
             Admission::Accepted
         };
-        let is_rejected = admission == Admission::RejectedEarly;
-        if is_rejected && self.descriptors.is_caller_overcommit_reached() {
+        let is_overcommit_reached = self.descriptors.is_caller_overcommit_reached()
+            || self.memory.excess() >= REJECTION_OVERCOMMIT;
+        if admission == Admission::RejectedEarly && is_overcommit_reached {
             return None;
         }
         Some(AdmittedCaller {
             added: self.callers.add(admission),
             admission,
-            permit: self.descriptors.permit(PeerKind::Caller),
+            permit: CallerPermit {
+                _descriptor: self.descriptors.permit(PeerKind::Caller),
+                memory: Cell::new(Some(self.memory.reserve_always(CALLER_CONNECTION))),
+            },
         })
     }
 
-    /// Evicts a connection to free a descriptor for a caller's connection. Returns false if none can be evicted.
+    /// Returns whether there is memory for another caller's connection.
+    fn has_memory(&self) -> bool {
+        self.memory.has_room_for(CALLER_CONNECTION)
+    }
+
+    /// Closes the connection to an endpoint that has been idle longest. Returns false if there is none.
+    pub fn close_oldest_idle(&mut self) -> bool {
+        self.pool.close_oldest()
+    }
+
+    /// Evicts a connection to free a descriptor or memory for a caller's connection. Returns false if none can be evicted.
     fn evict_for_caller(&mut self) -> bool {
-        (self.descriptors.is_exhausted() && self.pool.close_oldest()) || self.callers.evict_one()
+        let needed = if self.has_memory() {
+            EvictionGain::Descriptor
+        } else {
+            EvictionGain::Memory
+        };
+        let may_close_idle = self.descriptors.is_exhausted() || needed == EvictionGain::Memory;
+        (may_close_idle && self.pool.close_oldest()) || self.callers.evict_one(needed)
     }
 
     /// Returns a permit for the descriptor of a new connection to an endpoint. If the budget is exhausted, the
@@ -83,7 +126,7 @@
     pub fn endpoint_connection_permit(&mut self) -> Option<DescriptorPermit> {
         let has_descriptor = !self.descriptors.is_exhausted()
             || self.pool.close_oldest()
-            || self.callers.evict_one();
+            || self.callers.evict_one(EvictionGain::Descriptor);
         has_descriptor.then(|| self.descriptors.permit(PeerKind::Endpoint))
     }
 
@@ -117,9 +160,12 @@
         self.pool.take(endpoint)
     }
 
-    /// Returns a connection to the pool.
+    /// Returns a connection to the pool, or closes it if there is no memory for it.
     pub fn put_idle(&mut self, endpoint: &EndpointId, connection: EndpointConnection) -> SweepTask {
-        self.pool.put(endpoint, connection)
+        match self.memory.reserve(IDLE_ENDPOINT_CONNECTION) {
+            Some(memory) => self.pool.put(endpoint, connection, memory),
+            None => SweepTask::NotNeeded,
+        }
     }
 
     /// Closes the idle connections to an endpoint.
--- a/src/sidecar/node/discovery.rs
+++ b/src/sidecar/node/discovery.rs
@@ -15,7 +15,9 @@
     pub(super) fn apply_list(&self, list: &EndpointList, kind: ListKind) {
         let mut node = self.borrow();
         let update = node.endpoints.update(list, kind);
-        log_list(list, kind, node.endpoints.len());
+        let listed = node.endpoints.len();
+        node.memory.set_endpoints(listed);
+        log_list(list, kind, listed);
         for endpoint in &update.close_idle_connections_to {
             node.connections.close_idle(endpoint);
         }
--- a/src/sidecar/node/endpoint_host.rs
+++ b/src/sidecar/node/endpoint_host.rs
@@ -28,7 +28,7 @@
     }
 
     fn response_memory(&self) -> MemoryBudget {
-        self.borrow().response_memory().clone()
+        self.borrow().memory.response_bodies().clone()
     }
 
     fn descriptors_exhausted(&self) -> bool {
--- a/src/sidecar/node/mod.rs
+++ b/src/sidecar/node/mod.rs
@@ -7,6 +7,7 @@
 //! | `endpoints.rs` | the listed endpoints, the watches on discovery, the wait for the first list |
 //! | `list_status.rs` | how current the list is, and how often discovery failed |
 //! | `connections.rs` | callers' connections and their drain, idle connections to endpoints, the descriptor budget |
+//! | `memory.rs` | the memory of callers' connections, requests and bodies |
 //! | `hot_restart.rs` | the other processes of this sidecar, and the shared directory |
 //! | `active_configuration.rs` | the configuration in force and the settings before it |
 //!
@@ -28,6 +29,7 @@
 mod hot_restart;
 mod list_handover;
 mod list_status;
+mod memory;
 mod open_request;
 mod open_requests;
 mod operators;
@@ -39,6 +41,8 @@
 mod state;
 
 pub use active_configuration::ResolvedSettings;
+pub use connections::CallerPermit;
+pub use memory::RequestSize;
 pub use open_request::{FinalAnswer, SubmitError};
 pub use operators::UnknownEndpoint;
 pub use process_messages::AcceptStatus;
--- a/src/sidecar/node/process_messages.rs
+++ b/src/sidecar/node/process_messages.rs
@@ -1,6 +1,6 @@
 //! Messages between the node and the other processes of its sidecar, and the handling of a process's end.
 
-use super::state::NodeHandle;
+use super::state::{Node, NodeHandle};
 use crate::policy::EndpointId;
 use crate::sidecar::admin_state::AdminState;
 use crate::sidecar::hot_restart::{OtherProcessId, ProcessMessage, ProcessRole};
@@ -18,6 +18,17 @@
     ShuttingDown,
 }
 
+impl Node {
+    /// Counts what the sidecar's other processes have open against the budgets that all processes share.
+    fn count_other_processes(&mut self) {
+        let processes = self.hot_restart.processes();
+        self.connections
+            .set_other_process_connections(processes.open_connections());
+        let others = processes.open_connections().count();
+        self.memory.set_processes(1 + others);
+    }
+}
+
 impl NodeHandle {
     /// Adds another process. Returns its id and the queue of messages to be written to it.
     pub fn add_process(
@@ -69,8 +80,7 @@
         let mut guard = self.borrow();
         let node = &mut *guard;
         node.hot_restart.processes_mut().remove(process);
-        node.connections
-            .set_other_process_connections(node.hot_restart.processes().open_connections());
+        node.count_other_processes();
         let Some(stored) = node.hot_restart.stored_disabled_endpoints() else {
             return;
         };
@@ -109,13 +119,11 @@
                 self.receive_admin_state(origin, &endpoint.as_str().into(), state);
             }
             ProcessMessage::OpenConnections(connections) => {
-                let mut guard = self.borrow();
-                let node = &mut *guard;
+                let mut node = self.borrow();
                 node.hot_restart
                     .processes_mut()
                     .set_open_connections(origin, connections);
-                node.connections
-                    .set_other_process_connections(node.hot_restart.processes().open_connections());
+                node.count_other_processes();
             }
             ProcessMessage::SentRequests(ids) => {
                 let mut node = self.borrow();
--- a/src/sidecar/node/report.rs
+++ b/src/sidecar/node/report.rs
@@ -18,7 +18,7 @@
     pub list: ListMetrics,
     /// The connections open now.
     pub connections: OpenConnections,
-    /// The bytes that are reserved for bodies now.
+    /// The bytes that are reserved for connections, requests and bodies now.
     pub reserved_bytes: usize,
 }
 
@@ -42,7 +42,7 @@
             status: self.balancer_status(),
             list: self.list_metrics(),
             connections: self.open_connections(),
-            reserved_bytes: self.request_memory().reserved() + self.response_memory().reserved(),
+            reserved_bytes: self.memory.process().reserved(),
         }
     }
 
--- a/src/sidecar/node/state.rs
+++ b/src/sidecar/node/state.rs
@@ -4,6 +4,7 @@
 use super::connections::{AdmittedCaller, Connections};
 use super::endpoints::Endpoints;
 use super::hot_restart::HotRestart;
+use super::memory::{NodeMemory, RequestSize};
 use super::open_requests::OpenRequests;
 use super::sent_requests::SentRequests;
 use crate::clock::Clock;
@@ -14,7 +15,7 @@
 use crate::sidecar::counters::Counters;
 use crate::sidecar::descriptors::{DescriptorBudget, OpenConnections};
 use crate::sidecar::hot_restart::{ReceivedList, SharedDirectory};
-use crate::sidecar::memory::MemoryBudget;
+use crate::sidecar::memory::{MemoryBudget, RequestMemory};
 use crate::sidecar::metrics::{Metrics, RequestTracker};
 use crate::sidecar::shutdown_deadline::ShutdownDeadline;
 use std::cell::{RefCell, RefMut};
@@ -23,11 +24,6 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The divisor of the process's memory that gives the budget of callers' request bodies.
-const REQUEST_MEMORY_DIVISOR: usize = 4;
-/// The divisor of the process's memory that gives the budget of endpoints' responses.
-const RESPONSE_MEMORY_DIVISOR: usize = 8;
-
 /// The state of one sidecar, with its balancer. Each component is changed only through its own methods.
 pub struct Node {
     pub(super) clock: Clock,
@@ -39,8 +35,7 @@
     pub(super) hot_restart: HotRestart,
     pub(super) sent_requests: SentRequests,
     pub(super) list_of_other_process: ReceivedList,
-    request_memory: MemoryBudget,
-    response_memory: MemoryBudget,
+    pub(super) memory: NodeMemory,
     /// The counters since the last counters line of the log.
     pub(super) counters: Counters,
     /// The metrics since the start.
@@ -144,21 +139,22 @@
         let mut metrics = Metrics::default();
         metrics.add_classes(&config.settings.classes);
         let descriptors = DescriptorBudget::new(config.max_descriptors, reserved_descriptors);
+        let memory = NodeMemory::new(config.max_memory_mb);
         let clock = Clock::start();
         Ok(Node {
             clock,
             balancer: Balancer::new(config.settings.clone(), config.seed)?,
             requests: OpenRequests::default(),
             endpoints: Endpoints::new(config.discovery, clock.now()),
-            connections: Connections::new(&config.settings.limits, descriptors),
+            connections: Connections::new(
+                &config.settings.limits,
+                descriptors,
+                memory.process().clone(),
+            ),
             hot_restart: HotRestart::new(directory),
             sent_requests: SentRequests::default(),
             list_of_other_process: ReceivedList::default(),
-            request_memory: MemoryBudget::fraction_of(config.max_memory_mb, REQUEST_MEMORY_DIVISOR),
-            response_memory: MemoryBudget::fraction_of(
-                config.max_memory_mb,
-                RESPONSE_MEMORY_DIVISOR,
-            ),
+            memory,
             counters: Counters::default(),
             metrics,
             configuration: ActiveConfiguration::new(
@@ -223,14 +219,22 @@
         self.connections.open_connections()
     }
 
-    /// Returns the memory budget of callers' request bodies.
-    pub fn request_memory(&self) -> &MemoryBudget {
-        &self.request_memory
+    /// Reserves the memory of a request. Idle connections to endpoints are closed for it if there is too little. Returns
+    /// `None` if that is not enough.
+    pub fn reserve_request_memory(&mut self, size: RequestSize) -> Option<RequestMemory> {
+        loop {
+            if let Some(memory) = self.memory.reserve_request(size) {
+                return Some(memory);
+            }
+            if !self.connections.close_oldest_idle() {
+                return None;
+            }
+        }
     }
 
-    /// Returns the memory budget of endpoints' responses.
-    pub fn response_memory(&self) -> &MemoryBudget {
-        &self.response_memory
+    /// Returns the budget of the process's memory.
+    pub fn process_memory(&self) -> &MemoryBudget {
+        self.memory.process()
     }
 
     /// Returns the seed of random numbers that are drawn outside the balancer.
--- a/src/sidecar/report.rs
+++ b/src/sidecar/report.rs
@@ -1,7 +1,7 @@
 //! The counters line of the log.
 
-use super::memory::ProcessMemory;
 use super::node::{NodeHandle, NodeReport};
+use super::process_memory::ProcessMemory;
 use crate::policy::BalancerStatus;
 use std::time::Duration;
 use tokio::time::sleep;
--- a/src/sidecar/server/caller_connection.rs
+++ b/src/sidecar/server/caller_connection.rs
@@ -4,8 +4,7 @@
 use crate::sidecar::body::RequestDeadline;
 use crate::sidecar::caller::{Admission, CallerArrival, ConnectionState};
 use crate::sidecar::counters::EarlyRejection;
-use crate::sidecar::descriptors::DescriptorPermit;
-use crate::sidecar::node::NodeHandle;
+use crate::sidecar::node::{CallerPermit, NodeHandle};
 use crate::sidecar::sockets;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -22,8 +21,8 @@
     pub state: Rc<ConnectionState>,
     /// Tells whether the connection's requests are served or rejected.
     pub admission: Admission,
-    /// The permit for the connection's descriptor.
-    pub _permit: DescriptorPermit,
+    /// The connection's share of the budgets of descriptors and memory.
+    pub permit: CallerPermit,
 }
 
 impl Drop for CallerConnection {
@@ -48,6 +47,12 @@
         self.state.is_pipelined() && sockets::has_peer_closed(&self.stream)
     }
 
+    /// Begins a lingering close. The buffers of the connection have been freed.
+    pub fn begin_lingering(&self) {
+        self.state.mark_lingering();
+        self.permit.return_memory();
+    }
+
     /// Returns whether the connection's requests are rejected because there are no descriptors for it.
     pub fn is_rejected_early(&self) -> bool {
         self.admission == Admission::RejectedEarly
--- a/src/sidecar/server/connection.rs
+++ b/src/sidecar/server/connection.rs
@@ -12,7 +12,7 @@
 use std::future::poll_fn;
 use std::pin::{Pin, pin};
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::{ReadBuf, join};
 use tokio::net::TcpStream;
@@ -44,6 +44,7 @@
     let _ = stream.set_nodelay(true); // a failure only delays responses
     serve_requests(&caller, &close, persistence).await;
     if !state.has_peer_closed() && !state.is_closing_idle() {
+        caller.begin_lingering();
         let _ = sockets::shutdown_write(stream); // sends FIN, because some clients read the response up to it
         lingering_close(stream, state, &close).await;
     }
@@ -53,7 +54,8 @@
     let (stream, state) = (&caller.stream, &*caller.state);
     let service =
         service_fn(async |request| Ok::<Reply, Infallible>(caller.serve_one(request).await));
-    let reader = RequestReader::new(stream.clone(), caller.state.clone());
+    let memory = caller.node.borrow().process_memory().clone();
+    let reader = RequestReader::new(stream.clone(), caller.state.clone(), memory);
     let writer = ObservedSocket::new(stream.clone(), caller.state.clone());
     let mut builder = http1::Builder::new();
     builder
@@ -143,21 +145,27 @@
 /// Reads and discards until the client closes the connection, so that the client can read the response first. An
 /// eviction ends this early. A graceful shutdown does not.
 async fn lingering_close(stream: &TcpStream, state: &ConnectionState, close: &Notify) {
-    let mut discarded = vec![0; LINGER_BUFFER_SIZE];
-    let mut read_to_end = async || loop {
-        let mut discarded = ReadBuf::new(&mut discarded);
-        let read = poll_fn(|context| sockets::poll_read(stream, context, &mut discarded)).await;
-        if read.is_err() || discarded.filled().is_empty() {
-            break;
-        }
-    };
+    let read_to_end = poll_fn(|context| poll_discard_all(stream, context));
     let evicted = async {
         while !state.is_closing_idle() {
             close.notified().await;
         }
     };
     tokio::select! {
-        _ = timeout(LINGER_TIMEOUT, read_to_end()) => {}
+        _ = timeout(LINGER_TIMEOUT, read_to_end) => {}
         () = evicted => {}
     }
 }
+
+/// Reads and discards what has arrived. Ready once the client has closed the connection. The buffer is on the stack, because
+/// hundreds of connections may linger at once.
+fn poll_discard_all(stream: &TcpStream, context: &mut Context<'_>) -> Poll<()> {
+    let mut discarded = [0; LINGER_BUFFER_SIZE];
+    loop {
+        let mut discarded = ReadBuf::new(&mut discarded);
+        let read = ready!(sockets::poll_read(stream, context, &mut discarded));
+        if read.is_err() || discarded.filled().is_empty() {
+            return Poll::Ready(());
+        }
+    }
+}
--- a/src/sidecar/server/forward.rs
+++ b/src/sidecar/server/forward.rs
@@ -5,12 +5,11 @@
 use super::pending_request::PendingRequest;
 use super::reply::{Reply, ReplyBody};
 use super::request_error::RequestError;
-use crate::sidecar::body::{buffer_size, receive_request_body};
+use crate::sidecar::body::receive_request_body;
 use crate::sidecar::caller::Persistence;
 use crate::sidecar::counters::EarlyRejection;
-use crate::sidecar::memory::MemoryReservation;
 use crate::sidecar::metrics::RequestTracker;
-use crate::sidecar::node::{NodeHandle, SubmitError};
+use crate::sidecar::node::{RequestSize, SubmitError};
 use hyper::body::{Body, Incoming};
 use hyper::{Request, Response, StatusCode};
 use tokio::time::Instant;
@@ -59,7 +58,9 @@
     let mut parsed = ParsedRequest::parse(node, &head, started_at)
         .map_err(|error| error.with_body_unread(!body.is_end_stream()))?;
     let tracker = tracker.insert(node.borrow().begin_request(&parsed.class().name));
-    let Some(memory) = reserve_memory(node, &body) else {
+    let size = RequestSize::new(&head.headers, &body);
+    let reserved = node.borrow().reserve_request_memory(size);
+    let Some(memory) = reserved else {
         caller.state.set_persistence(Persistence::Close);
         return Ok(caller.reject_early(EarlyRejection::Memory));
     };
@@ -73,7 +74,7 @@
     parsed.request.deadline = node.borrow().request_deadline(parsed.time_left);
     let timeout = parsed.response_timeout(node);
     let upload = received.upload.clone();
-    let forwarded = parsed.forwarded(head, received, memory);
+    let forwarded = parsed.forwarded(head, received, memory.clone());
     let mut pending = match PendingRequest::begin(node, parsed.request, forwarded) {
         Ok(pending) => pending,
         Err(SubmitError::TooManyUnanswered) => {
@@ -94,12 +95,11 @@
                 .await?
         }
     };
-    Ok(pending.reply(answer).await)
-}
-
-/// Reserves the maximum memory that buffering a body takes.
-fn reserve_memory(node: &NodeHandle, body: &Incoming) -> Option<MemoryReservation> {
-    node.borrow().request_memory().reserve(buffer_size(body))
+    let mut reply = pending.reply(answer).await;
+    if let ReplyBody::Streamed(streamed) = reply.body_mut() {
+        streamed.keep_reserved(memory);
+    }
+    Ok(reply)
 }
 
 fn id_conflict(text: &'static str) -> RequestError {
--- a/src/sidecar/server/listener.rs
+++ b/src/sidecar/server/listener.rs
@@ -70,7 +70,7 @@
         stream: Rc::new(stream),
         state: added.state,
         admission: admitted.admission,
-        _permit: admitted.permit,
+        permit: admitted.permit,
     };
     let served = connection::serve(connection, added.close, added.persistence);
     spawn_local(served);
--- a/src/sidecar/server/parsed_request.rs
+++ b/src/sidecar/server/parsed_request.rs
@@ -6,7 +6,7 @@
 use crate::policy::{Class, Idempotency, Request as PolicyRequest};
 use crate::sidecar::body::ReceivedRequestBody;
 use crate::sidecar::endpoint::{ForwardedRequest, end_to_end_headers};
-use crate::sidecar::memory::MemoryReservation;
+use crate::sidecar::memory::RequestMemory;
 use crate::sidecar::node::{NodeHandle, ResolvedSettings};
 use hyper::http::request::Parts;
 use hyper::http::uri::PathAndQuery;
@@ -83,7 +83,7 @@
         &self,
         head: Parts,
         body: ReceivedRequestBody,
-        memory: MemoryReservation,
+        memory: RequestMemory,
     ) -> ForwardedRequest {
         ForwardedRequest {
             method: head.method,
--- a/src/sidecar/server/pending_request_tests.rs
+++ b/src/sidecar/server/pending_request_tests.rs
@@ -3,6 +3,7 @@
 use super::super::request::parse_request;
 use super::*;
 use crate::configuration::Config;
+use crate::sidecar::memory::RequestMemory;
 use crate::sidecar::node::{StartMode, StartOptions};
 use bytes::Bytes;
 use hyper::Method;
@@ -13,11 +14,9 @@
 /// Submits a request. Its id is the same in each call.
 fn submit_request(node: &NodeHandle) -> PendingRequest<'_> {
     let now = node.borrow().clock().now();
-    let memory = node
-        .borrow()
-        .request_memory()
-        .reserve(0)
-        .expect("the memory budget is not exhausted");
+    let reserve = || node.borrow().process_memory().reserve(0);
+    let memory = [reserve(), reserve()].map(|memory| memory.expect("the budget is not exhausted"));
+    let [exchange, body] = memory;
     let headers = [("x-request-id", "r"), ("x-class", "c"), ("x-deadline", "9")];
     let headers = headers.map(|(name, value)| {
         (
@@ -36,7 +35,7 @@
         body: Bytes::new(),
         upload: None,
         is_repeatable: true,
-        _memory: memory,
+        _memory: RequestMemory::new(exchange, body),
     };
     PendingRequest::begin(node, request, forwarded)
         .unwrap_or_else(|_| panic!("the request is accepted"))
--- a/src/sidecar/server/request_error.rs
+++ b/src/sidecar/server/request_error.rs
@@ -69,6 +69,10 @@
                 "the head is over 16 KiB",
             ),
             HeadError::TooSlow => (StatusCode::REQUEST_TIMEOUT, "the head did not come in time"),
+            HeadError::NoMemory => (
+                StatusCode::SERVICE_UNAVAILABLE,
+                "there is no memory for the head",
+            ),
         };
         RequestError::new(status, text)
     }
--- a/src/sidecar/server/service.rs
+++ b/src/sidecar/server/service.rs
@@ -4,7 +4,7 @@
 use super::forward;
 use super::reply::{Reply, ReplyBody, text_reply};
 use super::request_error::RequestError;
-use crate::sidecar::caller::{Persistence, ResponseKind};
+use crate::sidecar::caller::{HeadError, Persistence, ResponseKind};
 use crate::sidecar::counters::EarlyRejection;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
@@ -31,8 +31,10 @@
     }
 
     async fn answer(&self, request: Request<Incoming>, started_at: Instant) -> Reply {
-        if let Some(error) = self.state.head_error() {
-            return RequestError::from(error).reply();
+        match self.state.head_error() {
+            Some(HeadError::NoMemory) => return self.reject_early(EarlyRejection::Memory),
+            Some(error) => return RequestError::from(error).reply(),
+            None => {}
         }
         match (request.uri().path(), request.method()) {
             ("/ready", &Method::GET | &Method::HEAD) => self.readiness(),
--- a/src/sidecar/server/streamed_reply.rs
+++ b/src/sidecar/server/streamed_reply.rs
@@ -3,6 +3,7 @@
 use crate::sidecar::body::BodyTransferError;
 use crate::sidecar::caller::ConnectionState;
 use crate::sidecar::endpoint::StreamedResponse;
+use crate::sidecar::memory::RequestMemory;
 use crate::sidecar::metrics::RequestTracker;
 use bytes::Bytes;
 use hyper::StatusCode;
@@ -24,6 +25,8 @@
     tracker: Option<RequestTracker>,
     /// The state of the caller's connection, which is notified when the body has ended.
     state: Option<Rc<ConnectionState>>,
+    /// The memory of the request, which its answer takes too.
+    memory: Option<RequestMemory>,
     /// The connection's count of flushes when the last frame was given to hyper, until that frame has been flushed.
     unflushed_since: Option<u64>,
 }
@@ -49,6 +52,7 @@
             source: Source::Response(response),
             tracker: None,
             state: None,
+            memory: None,
             unflushed_since: None,
         }
     }
@@ -59,6 +63,11 @@
         self.state = Some(state.clone());
     }
 
+    /// Keeps the memory of the request reserved until the body has ended.
+    pub fn keep_reserved(&mut self, memory: RequestMemory) {
+        self.memory = Some(memory);
+    }
+
     /// Polls for the next frame. Returns `None` at the end.
     ///
     /// The next frame is ready only once the last one has been written to the caller. hyper would collect several of
