Count a long body's time from when the client's kernel can have held the rest of it

Cause: the moment of the client's last write was attributed to the last look with room in the receive buffer, and moved on in steps of the 4 MiB that a client's kernel may hold. Between two steps a body of which the kernel already held the rest counted as unwritten: up to 4 MiB at the server's rate. Change: ArrivalHistory keeps the looks of the last 4 MiB, 64 KiB apart, and tells the earliest time at which the client can have written its last byte. Why it works: that time is never after the client's last write by more than one look (0.2 s), at any rate of the server. What it costs: where the client's kernel holds less, the answer may come before its time, as already before. Class of bug: an estimate that is brought up to date in steps, used as if it were current.

--- a/src/sidecar/body/mod.rs
+++ b/src/sidecar/body/mod.rs
@@ -7,6 +7,7 @@
 //! A larger body is streamed. No more than [`limits::MAX_BUFFERED_BODY`] bytes of it are buffered, and each further
 //! frame is read only when the receiver has taken the previous one.
 
+mod arrival_history;
 mod buffered_response;
 mod error;
 mod frames;
--- a/src/sidecar/body/request_deadline.rs
+++ b/src/sidecar/body/request_deadline.rs
@@ -1,7 +1,8 @@
 //! The deadline of a request whose body is streamed. It counts from the arrival of the body's last byte.
 
+use super::arrival_history::ArrivalHistory;
 use crate::sidecar::shutdown_deadline::ShutdownDeadline;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::fmt;
 use std::pin::pin;
 use std::rc::Rc;
@@ -15,12 +16,6 @@
 /// be half a second late at most.
 const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
-/// The number of unread bytes from which the kernel's receive buffer may be full. More bytes then wait in the client's
-/// kernel, and the client may have written them long before they arrive.
-const FULL_BUFFER: u64 = 32 << 10;
-/// The number of bytes that a client's kernel may hold: the default maximum of the send buffer on Linux.
-const CLIENT_BUFFER: u64 = 4 << 20;
-
 /// What has arrived on a caller's connection, whether it has been read or waits in the kernel.
 pub trait ConnectionArrival: fmt::Debug {
     /// Returns how many bytes were read from the connection.
@@ -52,25 +47,14 @@
     last_progress_at: Cell<Instant>,
     /// True while everything that has arrived was read, so that the client has to send more.
     awaits_client: Cell<bool>,
-    /// The arrival to which the present bytes are attributed.
-    last_write: Cell<Arrival>,
-    /// True if the receive buffer had room at the last look at the connection, or everything was read since then.
-    had_room: Cell<bool>,
+    /// What was seen of the body's arrival.
+    history: RefCell<ArrivalHistory>,
     /// Set once the last byte has arrived.
     completion: Cell<Option<Completion>>,
     /// Notified when `completion` is set.
     completed: Notify,
 }
 
-/// The last time at which a client is known to have written, as far as it can be seen here.
-#[derive(Clone, Copy, Debug)]
-struct Arrival {
-    /// The time of the first look at which the bytes had arrived.
-    at: Instant,
-    /// The number of bytes that had arrived by then.
-    bytes: u64,
-}
-
 /// The arrival of a body's last byte.
 #[derive(Clone, Copy, Debug)]
 struct Completion {
@@ -83,14 +67,13 @@
     /// Creates the deadline of a request whose body is still arriving.
     pub fn new(arrival: Rc<dyn ConnectionArrival>, shutdown: ShutdownDeadline) -> Self {
         let now = Instant::now();
-        let bytes = arrival.arrived_bytes();
+        let arrived = arrival.arrived_bytes();
         RequestDeadline {
             arrival,
             shutdown,
             last_progress_at: Cell::new(now),
             awaits_client: Cell::new(false),
-            last_write: Cell::new(Arrival { at: now, bytes }),
-            had_room: Cell::new(true),
+            history: RefCell::new(ArrivalHistory::new(now, arrived)),
             completion: Cell::new(None),
             completed: Notify::new(),
         }
@@ -107,7 +90,7 @@
     pub fn on_nothing_to_read(&self) {
         if self.arrival.unread_bytes() == 0 {
             self.awaits_client.set(true);
-            self.had_room.set(true);
+            self.history.borrow_mut().on_all_read();
         }
     }
 
@@ -121,29 +104,22 @@
     fn complete(&self) {
         if self.completion.get().is_none() {
             self.completion.set(Some(Completion {
-                at: self.last_write.get().at,
+                at: self.history.borrow().arrived_bytes_written_at(),
                 shutdown_deadline: self.shutdown.get(),
             }));
             self.completed.notify_waiters();
         }
     }
 
-    /// Looks for bytes that have arrived since the last look. They count from now if the receive buffer had room for them,
-    /// so that an endpoint that takes them in time is not given up early. Otherwise the client may have written them
-    /// with the last ones, unless they are more than its kernel holds.
+    /// Looks for bytes that have arrived since the last look.
     fn check_arrival(&self) {
         let unread = self.arrival.unread_bytes();
-        let bytes = self.arrival.read_bytes() + unread;
-        let last = self.last_write.get();
-        let had_room = self.had_room.replace(unread < FULL_BUFFER);
-        if bytes > last.bytes && (had_room || bytes - last.bytes > CLIENT_BUFFER) {
-            self.last_write.set(Arrival {
-                at: Instant::now(),
-                bytes,
-            });
-        }
+        let arrived = self.arrival.read_bytes() + unread;
+        let mut history = self.history.borrow_mut();
+        history.look(Instant::now(), arrived, unread);
+        drop(history);
         let request_end = self.arrival.request_end();
-        if request_end.is_some_and(|end| bytes >= end) {
+        if request_end.is_some_and(|end| arrived >= end) {
             self.complete();
         }
     }
@@ -160,25 +136,23 @@
 
     /// Returns the deadline of a request whose last byte is not known to have arrived.
     fn deadline_of_incomplete(&self, time_left: Duration) -> Instant {
-        if self.may_be_written() {
-            self.last_write.get().at + time_left
-        } else {
-            self.last_progress_at.get() + time_left.max(MAX_PAUSE)
+        match self.may_be_written_at() {
+            Some(written_at) => written_at + time_left,
+            None => self.last_progress_at.get() + time_left.max(MAX_PAUSE),
         }
     }
 
-    /// Returns whether the client may have written all of a body whose last byte is not known to have arrived. Without a
-    /// declared length, the unread bytes may be all that there is. With one, the rest may wait in the client's kernel.
-    fn may_be_written(&self) -> bool {
+    /// Returns the earliest time at which the client may have written all of a body whose last byte is not known to have
+    /// arrived. `None` if it has more to write. Without a declared length, what has arrived may be all that there is. With
+    /// one, the rest may wait in the client's kernel.
+    fn may_be_written_at(&self) -> Option<Instant> {
         if self.awaits_client.get() {
-            return false;
+            return None;
         }
+        let history = self.history.borrow();
         match self.arrival.request_end() {
-            None => true,
-            Some(end) => {
-                let is_full = !self.had_room.get();
-                is_full && end.saturating_sub(self.last_write.get().bytes) <= CLIENT_BUFFER
-            }
+            None => Some(history.arrived_bytes_written_at()),
+            Some(end) => history.unarrived_bytes_written_at(end),
         }
     }
 
--- a/src/sidecar/body/request_deadline_tests.rs
+++ b/src/sidecar/body/request_deadline_tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the deadline of a streamed request, with tokio's clock paused.
 
+use super::super::arrival_history::{CLIENT_BUFFER, FULL_BUFFER, LOOK_INTERVAL};
 use super::*;
 use std::future::pending;
 use tokio::join;
@@ -214,6 +215,25 @@
     assert!(waited.await > SECOND + 2 * TIME_LEFT);
 }
 
+/// Guards the final answer of a long body that the client's kernel has held in part since the client wrote its last byte
+/// (issue 48, picture b): it counts from that moment, not from when the kernel's bytes arrive.
+#[tokio::test(start_paused = true)]
+async fn end_of_a_long_body_counts_from_when_the_clients_kernel_held_it() {
+    let arrived_when_written = 100 * FULL;
+    let fixture = Fixture::new(Some(arrived_when_written + CLIENT_BUFFER));
+    let waited = fixture.wait_during(read_slowly(&fixture, 2 * arrived_when_written));
+    let reads = arrived_when_written / FULL - 1;
+    let written_after = SECOND / 4 * reads as u32;
+    let latest = written_after + TIME_LEFT + ARRIVAL_CHECK_INTERVAL + SLACK;
+    let earliest =
+        latest - SECOND / 4 * (2 * LOOK_INTERVAL / FULL) as u32 - 2 * ARRIVAL_CHECK_INTERVAL;
+    let waited = waited.await;
+    assert!(
+        (earliest..=latest).contains(&waited),
+        "{waited:?} of {earliest:?} to {latest:?}"
+    );
+}
+
 /// Guards slow clients: while the receive buffer has room, the bytes that arrive were just written.
 #[tokio::test(start_paused = true)]
 async fn slow_client_counts_from_its_last_bytes() {
