--- a/src/sidecar/caller/request_reader.rs
+++ b/src/sidecar/caller/request_reader.rs
@@ -293,3 +293,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "request_reader_tests.rs"]
+mod tests;
