--- a/tests/sidecar/large_responses.rs
+++ b/tests/sidecar/large_responses.rs
@@ -217,27 +217,18 @@
             let endpoint = RawEndpoint::start(move |head, stream| {
                 read_body(head, stream).expect("the request's body");
                 let mut write = |bytes: &[u8]| stream.get_mut().write_all(bytes);
-                let is_chunked = framing.contains("chunked");
-                let frame = |part: &[u8]| {
-                    if is_chunked {
-                        chunk(part)
-                    } else {
-                        part.to_vec()
-                    }
-                };
                 let mut written = write(format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").as_bytes());
                 let body = pattern(SLOW_LENGTH);
                 let mut rest = &body[..];
                 let receiver = client_has_begun.lock().expect("the lock is not poisoned");
                 while written.is_ok() && rest.len() > SLOW_PART {
                     let (part, next) = rest.split_at(SLOW_PART);
-                    (written, rest) = (write(&frame(part)), next);
+                    (written, rest) = (write(&framed(framing, part)), next);
                     if receiver.recv_timeout(PART_INTERVAL).is_ok() {
                         break;
                     }
                 }
-                let end: &[u8] = if is_chunked { b"0\r\n\r\n" } else { b"" };
-                let _ = write(&[&frame(rest)[..], end].concat());
+                let _ = write(&[&framed(framing, rest)[..], end_of_body(framing)].concat());
                 let _ = stream.get_mut().shutdown(Shutdown::Write);
             });
             let (sidecar, _discovery) = start_sidecar_with(&[endpoint.address], |config| {
--- a/tests/sidecar/late_bodies.rs
+++ b/tests/sidecar/late_bodies.rs
@@ -23,14 +23,6 @@
 fn start_endpoint(framing: &'static str, early: usize) -> RawEndpoint {
     RawEndpoint::start(move |head, stream| {
         read_body(head, stream).expect("the request's body");
-        let is_chunked = framing.contains("chunked");
-        let frame = |part: &[u8]| {
-            if is_chunked {
-                chunk(part)
-            } else {
-                part.to_vec()
-            }
-        };
         let body = pattern(LENGTH);
         let (first, rest) = body.split_at(early);
         send(
@@ -38,13 +30,11 @@
             format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").as_bytes(),
         );
         if !first.is_empty() {
-            send(stream, &frame(first));
+            send(stream, &framed(framing, first));
         }
         std::thread::sleep(PAUSE);
-        let end: &[u8] = if is_chunked { b"0\r\n\r\n" } else { b"" };
-        let _ = stream
-            .get_mut()
-            .write_all(&[&frame(rest)[..], end].concat()); // fails if it was cut off
+        let end = [&framed(framing, rest)[..], end_of_body(framing)].concat();
+        let _ = stream.get_mut().write_all(&end); // fails if it was cut off
         if framing.starts_with("Connection") {
             let _ = stream.get_mut().shutdown(Shutdown::Write);
         }
--- a/tests/sidecar/shutdown_streams.rs
+++ b/tests/sidecar/shutdown_streams.rs
@@ -24,21 +24,12 @@
             stream,
             format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").as_bytes(),
         );
-        let frame = |part: &[u8]| {
-            if is_chunked {
-                chunk(part)
-            } else {
-                part.to_vec()
-            }
-        };
         let body = pattern(LENGTH);
         let (first, rest) = body.split_at(FIRST_PART);
-        send(stream, &frame(first));
+        send(stream, &framed(&framing, first));
         gate.wait();
-        send(stream, &frame(rest));
-        if is_chunked {
-            send(stream, b"0\r\n\r\n");
-        }
+        send(stream, &framed(&framing, rest));
+        send(stream, end_of_body(&framing));
     });
     (opener, endpoint)
 }
--- a/tests/sidecar/stubs/raw_http.rs
+++ b/tests/sidecar/stubs/raw_http.rs
@@ -169,3 +169,21 @@
         &format!("Idempotency-Key: k\r\n{framing}"),
     )
 }
+
+/// Returns a part of a body as it is written in the framing that these headers declare.
+pub fn framed(framing: &str, part: &[u8]) -> Vec<u8> {
+    if framing.contains("chunked") {
+        chunk(part)
+    } else {
+        part.to_vec()
+    }
+}
+
+/// Returns what follows the last part of a body in the framing that these headers declare.
+pub fn end_of_body(framing: &str) -> &'static [u8] {
+    if framing.contains("chunked") {
+        b"0\r\n\r\n"
+    } else {
+        b""
+    }
+}
