Leave more of the memory to what the allocator cannot reuse, and count a whole upload

The blocks that earlier bursts freed are too small for the buffer of a chunked body, which doubles up to 128 KiB: 32 KiB beside its 64 are too few. Change: 64 KiB beside the buffered part for a request with a body, and 0.75 of the memory that the program leaves instead of 0.8.

--- a/src/sidecar/memory_costs.rs
+++ b/src/sidecar/memory_costs.rs
@@ -7,7 +7,7 @@
 /// What an endpoint of the list takes, in bytes.
 const LISTED_ENDPOINT: usize = 2_000;
 /// The fraction of the rest that is used. The allocator cannot reuse all of the memory that was freed.
-const USABLE_FRACTION: f64 = 4.0 / 5.0;
+const USABLE_FRACTION: f64 = 3.0 / 4.0;
 /// The least budget in bytes, with which a process with too little memory serves a few callers.
 const MIN_BUDGET: usize = 1 << 20;
 /// A megabyte of the configuration's limit, in bytes.
@@ -20,7 +20,7 @@
 /// frames of bodies that are on their way.
 pub const EXCHANGE: usize = 48 << 10;
 /// What a request with a body that may be streamed takes in addition, in bytes.
-pub const STREAMED_UPLOAD: usize = 32 << 10;
+pub const STREAMED_UPLOAD: usize = 64 << 10;
 /// What an idle connection to an endpoint takes, in bytes.
 pub const IDLE_ENDPOINT_CONNECTION: usize = 24 << 10;
 
