Close no idle connection for a request whose body has no memory in any case

While the budget of request bodies is exhausted, as by 128 uploads at 32 MB, each further upload is rejected and closes all idle connections to endpoints on the way. The next requests pay for new ones. Cause: the loop that closes idle connections for a request's memory did not distinguish the budget of bodies, which idle connections do not draw from, from that of the process. Change: a body for which its own budget has no room is rejected before the loop.

--- a/src/sidecar/memory.rs
+++ b/src/sidecar/memory.rs
@@ -98,6 +98,11 @@
         self.pools().all(|pool| pool.has_room_for(size))
     }
 
+    /// Returns whether the budget has `size` bytes left, apart from the one that it is a part of.
+    pub fn has_own_room_for(&self, size: usize) -> bool {
+        self.own.has_room_for(size)
+    }
+
     /// Returns how many bytes are reserved beyond the limit.
     pub fn excess(&self) -> usize {
         let limit = self.own.limit.load(Ordering::Relaxed);
--- a/src/sidecar/node/memory.rs
+++ b/src/sidecar/node/memory.rs
@@ -91,6 +91,11 @@
         &self.response_bodies
     }
 
+    /// Returns whether the budget of request bodies has room for a body, whatever the whole process has.
+    pub fn may_buffer(&self, size: RequestSize) -> bool {
+        self.request_bodies.has_own_room_for(size.body)
+    }
+
     /// Reserves the memory of a request. Returns `None` if there is none left for it.
     pub fn reserve_request(&self, size: RequestSize) -> Option<RequestMemory> {
         let exchange = self.process.reserve(size.exchange)?;
--- a/src/sidecar/node/state.rs
+++ b/src/sidecar/node/state.rs
@@ -219,9 +219,12 @@
         self.connections.open_connections()
     }
 
-    /// Reserves the memory of a request. Idle connections to endpoints are closed for it if there is too little. Returns
-    /// `None` if that is not enough.
+    /// Reserves the memory of a request. Idle connections to endpoints are closed for it if the process has too little.
+    /// Returns `None` if that is not enough, or if there is none for its body.
     pub fn reserve_request_memory(&mut self, size: RequestSize) -> Option<RequestMemory> {
+        if !self.memory.may_buffer(size) {
+            return None;
+        }
         loop {
             if let Some(memory) = self.memory.reserve_request(size) {
                 return Some(memory);
--- a/tests/sidecar/memory_limit.rs
+++ b/tests/sidecar/memory_limit.rs
@@ -39,6 +39,9 @@
 /// The interval at which the sidecar's memory is looked at.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(2);
 
+/// A time after which an idle connection to an endpoint is used again.
+const CONNECTION_SETTLING_TIME: Duration = Duration::from_millis(60);
+
 /// What a client does.
 #[derive(Clone, Copy, Debug)]
 enum ClientKind {
@@ -240,6 +243,25 @@
     peak
 }
 
+/// Guards idle connections to endpoints while the budget of request bodies is exhausted (here there is none at all): closing
+/// them would not make room for a body.
+#[test]
+fn request_whose_body_has_no_memory_keeps_idle_connections() {
+    let endpoint = Endpoint::start(|_| respond_ok("x"));
+    let discovery = Discovery::start();
+    let mut config = config(discovery.address, &serving_entries(&[&endpoint]));
+    config["limits"]["memory_mb"] = json!(0);
+    let sidecar = Sidecar::start(&config);
+    let get = || sidecar.client().exchange(&get_request("5")).status();
+    assert_eq!(get(), 200);
+    let connection = endpoint.next_request().connection;
+    sleep(CONNECTION_SETTLING_TIME);
+    let rejected = sidecar.client().exchange(&post_request("unsafe", "5", "x"));
+    assert_eq!(rejected.status(), 503);
+    assert_eq!(get(), 200);
+    assert_eq!(endpoint.next_request().connection, connection);
+}
+
 /// Guards the memory limit against hundreds of clients of one kind (issue 48): a process over its limit is killed.
 #[test]
 fn hundreds_of_clients_of_one_kind_stay_within_the_memory_limit() {
