Log a connection that is rejected for want of memory under that reason

An on-call engineer would look for the wrong limit. Cause: the admission did not carry its reason, and the service named descriptors for all. Change: Admission::RejectedEarly carries the limit that was reached. The two filters of evict_one are one rule now, in Caller::eviction_rank; what is evicted is as before.

--- a/src/sidecar/caller/table.rs
+++ b/src/sidecar/caller/table.rs
@@ -7,6 +7,7 @@
 use super::drain_state::DrainState;
 use super::persistence::Persistence;
 use super::phase::Phase;
+use crate::sidecar::counters::EarlyRejection;
 use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,13 +45,13 @@
     close: Rc<Notify>,
 }
 
-/// Tells whether the requests of a new connection are served, which requires a descriptor for it.
+/// Tells whether the requests of a new connection are served, which requires a descriptor and memory for it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
     /// The connection's requests are served.
     Accepted,
-    /// The connection's first request is rejected, and the connection closes after the response.
-    RejectedEarly,
+    /// The connection's first request is rejected, for this reason, and the connection closes after the response.
+    RejectedEarly(EarlyRejection),
 }
 
 /// What the eviction of a connection is to free.
@@ -92,13 +93,14 @@
 
 impl Caller {
     /// Returns the connection's rank and the time since which it has been inactive. Returns `None` for a connection
-    /// that is being answered or has already been evicted.
-    fn eviction_rank(&self, now: Instant) -> Option<(EvictionRank, Instant)> {
-        if self.is_evicted {
+    /// that is being answered, has already been evicted, or is not evicted for this gain.
+    fn eviction_rank(&self, gain: EvictionGain, now: Instant) -> Option<(EvictionRank, Instant)> {
+        let has_gain = gain == EvictionGain::Descriptor || !self.state.is_lingering();
+        if self.is_evicted || !has_gain {
             return None;
         }
         let last_byte_at = self.state.last_byte_at();
-        Some(match self.state.phase() {
+        let ranked = match self.state.phase() {
             Phase::AwaitingFirstHead { since } if now >= since + FIRST_REQUEST_GRACE => {
                 (EvictionRank::NeverUsed, since)
             }
@@ -111,7 +113,9 @@
                 (EvictionRank::PossiblyActive, last_byte_at)
             }
             Phase::Answering | Phase::Streaming { .. } => return None,
-        })
+        };
+        let is_in_use = ranked.0 > EvictionRank::StalledHead;
+        (gain == EvictionGain::Descriptor || !is_in_use).then_some(ranked)
     }
 }
 
@@ -129,7 +133,7 @@
         self.connections.insert(number, caller);
         let closes_after_first_response =
             self.is_shutting_down || self.drain == Some(DrainState::ClosingIdle);
-        let persistence = if closes_after_first_response || admission == Admission::RejectedEarly {
+        let persistence = if closes_after_first_response || admission != Admission::Accepted {
             Persistence::Close
         } else {
             Persistence::KeepAlive
@@ -158,11 +162,7 @@
         let ranks = self
             .connections
             .iter()
-            .filter(|(_, caller)| gain == EvictionGain::Descriptor || !caller.state.is_lingering())
-            .filter_map(|(number, caller)| Some((caller.eviction_rank(now)?, *number)))
-            .filter(|((rank, _), _)| {
-                gain == EvictionGain::Descriptor || *rank <= EvictionRank::StalledHead
-            });
+            .filter_map(|(number, caller)| Some((caller.eviction_rank(gain, now)?, *number)));
         let Some((_, number)) = ranks.min() else {
             return false;
         };
--- a/src/sidecar/caller/table_tests.rs
+++ b/src/sidecar/caller/table_tests.rs
@@ -93,7 +93,10 @@
         Persistence::KeepAlive
     );
     assert_eq!(
-        persistence(&mut table, Admission::RejectedEarly),
+        persistence(
+            &mut table,
+            Admission::RejectedEarly(EarlyRejection::Descriptors)
+        ),
         Persistence::Close
     );
     table.set_drain_state(Some(DrainState::ClosingAfterResponses));
--- a/src/sidecar/node/connections.rs
+++ b/src/sidecar/node/connections.rs
@@ -2,6 +2,7 @@
 
 use crate::policy::{EndpointId, Limits};
 use crate::sidecar::caller::{AddedCaller, Admission, CallerTable, DrainState, EvictionGain};
+use crate::sidecar::counters::EarlyRejection;
 use crate::sidecar::descriptors::{DescriptorBudget, DescriptorPermit, OpenConnections, PeerKind};
 use crate::sidecar::endpoint::{
     ConnectionPool, EndpointConnection, EndpointProcess, IdleConnectionPolicy, KnownProcessGuard,
@@ -78,15 +79,13 @@
     /// is evicted for it. If none can be evicted, it is admitted, but its requests are rejected. Returns `None` if there
     /// is no descriptor or no memory even for the rejection.
     pub fn admit_caller(&mut self) -> Option<AdmittedCaller> {
-        let is_limit_reached = self.descriptors.is_caller_limit_reached() || !self.has_memory();
-        let admission = if is_limit_reached && !self.evict_for_caller() {
-            Admission::RejectedEarly
-        } else {
-            Admission::Accepted
+        let admission = match self.reached_limit() {
+            Some(limit) if !self.evict_for_caller() => Admission::RejectedEarly(limit),
+            _ => Admission::Accepted,
         };
         let is_overcommit_reached = self.descriptors.is_caller_overcommit_reached()
             || self.memory.excess() >= REJECTION_OVERCOMMIT;
-        if admission == Admission::RejectedEarly && is_overcommit_reached {
+        if admission != Admission::Accepted && is_overcommit_reached {
             return None;
         }
         Some(AdmittedCaller {
@@ -99,6 +98,17 @@
         })
     }
 
+    /// Returns the limit that leaves no room for another caller's connection, if one is reached.
+    fn reached_limit(&self) -> Option<EarlyRejection> {
+        if !self.has_memory() {
+            Some(EarlyRejection::Memory)
+        } else if self.descriptors.is_caller_limit_reached() {
+            Some(EarlyRejection::Descriptors)
+        } else {
+            None
+        }
+    }
+
     /// Returns whether there is memory for another caller's connection.
     fn has_memory(&self) -> bool {
         self.memory.has_room_for(CALLER_CONNECTION)
--- a/src/sidecar/server/caller_connection.rs
+++ b/src/sidecar/server/caller_connection.rs
@@ -53,11 +53,6 @@
         self.permit.return_memory();
     }
 
-    /// Returns whether the connection's requests are rejected because there are no descriptors for it.
-    pub fn is_rejected_early(&self) -> bool {
-        self.admission == Admission::RejectedEarly
-    }
-
     /// Rejects a request before the balancer receives it.
     pub fn reject_early(&self, reason: EarlyRejection) -> Reply {
         rejected(self.node.borrow().reject_early(reason))
--- a/src/sidecar/server/service.rs
+++ b/src/sidecar/server/service.rs
@@ -4,7 +4,7 @@
 use super::forward;
 use super::reply::{Reply, ReplyBody, text_reply};
 use super::request_error::RequestError;
-use crate::sidecar::caller::{HeadError, Persistence, ResponseKind};
+use crate::sidecar::caller::{Admission, HeadError, Persistence, ResponseKind};
 use crate::sidecar::counters::EarlyRejection;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
@@ -39,13 +39,13 @@
         match (request.uri().path(), request.method()) {
             ("/ready", &Method::GET | &Method::HEAD) => self.readiness(),
             ("/ready", _) => RequestError::method_not_allowed("GET, HEAD").reply(),
-            ("/api", &Method::GET | &Method::POST) if self.is_rejected_early() => {
-                self.reject_early_and_count(&request)
-            }
-            ("/api", &Method::GET | &Method::POST) => {
-                let answer = forward::answer(self, request, started_at).await;
-                answer.unwrap_or_else(|error| self.reply_to_error(error))
-            }
+            ("/api", &Method::GET | &Method::POST) => match self.admission {
+                Admission::RejectedEarly(reason) => self.reject_early_and_count(reason, &request),
+                Admission::Accepted => {
+                    let answer = forward::answer(self, request, started_at).await;
+                    answer.unwrap_or_else(|error| self.reply_to_error(error))
+                }
+            },
             ("/api", _) => RequestError::method_not_allowed("GET, POST").reply(),
             _ => text_reply(StatusCode::NOT_FOUND, "no such path"),
         }
@@ -71,8 +71,8 @@
     }
 
     /// Rejects a request without reading its body, and counts it in the metrics of its class.
-    fn reject_early_and_count(&self, request: &Request<Incoming>) -> Reply {
-        let reply = self.reject_early(EarlyRejection::Descriptors);
+    fn reject_early_and_count(&self, reason: EarlyRejection, request: &Request<Incoming>) -> Reply {
+        let reply = self.reject_early(reason);
         let name = request
             .headers()
             .get("x-class")
--- a/tests/sidecar/memory_limit.rs
+++ b/tests/sidecar/memory_limit.rs
@@ -39,6 +39,8 @@
 /// The interval at which the sidecar's memory is looked at.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(2);
 
+/// The number of clients whose requests take more than the least budget.
+const WAITING_CLIENTS: usize = 40;
 /// A time after which an idle connection to an endpoint is used again.
 const CONNECTION_SETTLING_TIME: Duration = Duration::from_millis(60);
 
@@ -243,6 +245,30 @@
     peak
 }
 
+/// Guards the reason that the log gives for connections that are rejected for want of memory, with descriptors left.
+#[test]
+fn connections_without_memory_are_rejected_for_that_reason() {
+    let is_over = Arc::<AtomicBool>::default();
+    let endpoint = start_endpoint(&is_over);
+    let (sidecar, _discovery) = start_sidecar_with(&[endpoint.address], |mut config| {
+        config["limits"]["memory_mb"] = json!(0);
+        config
+    });
+    let silent = || get_request("9").replace("/api", "/api?silent");
+    let connect_and_send = || {
+        let mut client = sidecar.client();
+        client.write(&silent());
+        client
+    };
+    let clients: Vec<_> = (0..WAITING_CLIENTS).map(|_| connect_and_send()).collect();
+    wait_until("rejections are logged", || {
+        sidecar.logged_count("early_memory") > 0
+    });
+    assert_eq!(sidecar.logged_count("early_descriptors"), 0);
+    drop(clients);
+    is_over.store(true, Ordering::Relaxed);
+}
+
 /// Guards idle connections to endpoints while the budget of request bodies is exhausted (here there is none at all): closing
 /// them would not make room for a body.
 #[test]
